--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Entry points: `make demo`, `make test`. Both install the packages and build.
+.PHONY: packages build test demo lint format fuzz bench sanitized clean
+
+JOBS ?= 8
+
+packages:
+	./.ci/packages
+
+build: packages
+	cmake -S . -B build -G Ninja
+	cmake --build build -j $(JOBS)
+
+sanitized: packages
+	cmake -S . -B build-san -G Ninja -DCMAKE_BUILD_TYPE=Sanitized -DCHIVEFOLD_SANITIZE=ON
+	cmake --build build-san -j $(JOBS)
+
+test: build sanitized
+	./.ci/test
+
+demo: build
+	./build/tests/e2e/demo
+
+bench: build
+	./benchmark/run
+
+format:
+	./.ci/format --fix
+
+lint: build
+	./.ci/format
+	./.ci/tidy
--- /dev/null
+++ b/include/chivefold/daemon/version.h
@@ -0,0 +1,17 @@
+/**
+ * @file
+ * Version of the programs.
+ */
+#ifndef CHIVEFOLD_DAEMON_VERSION_H
+#define CHIVEFOLD_DAEMON_VERSION_H
+
+#include <string_view>
+
+namespace chivefold {
+
+/** Printed by --version. */
+constexpr std::string_view ProgramVersion = "chivefold 0.1.0";
+
+} // namespace chivefold
+
+#endif
--- /dev/null
+++ b/include/chivefold/io/http.h
@@ -0,0 +1,53 @@
+/**
+ * @file
+ * HTTP messages shared by server and client.
+ */
+#ifndef CHIVEFOLD_IO_HTTP_H
+#define CHIVEFOLD_IO_HTTP_H
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chivefold {
+
+struct HttpLimits {
+  static constexpr std::size_t MaxBodyBytes = 1U << 20U;
+  static constexpr std::size_t MaxHeaderBytes = 16U << 10U;
+  static constexpr unsigned MaxConnections = 1024;
+};
+
+struct HttpHeader {
+  std::string Name;
+  std::string Value;
+};
+
+using HttpHeaders = std::vector<HttpHeader>;
+
+/** @return the first value of @p name (case-insensitive), or "". Thread-safe.
+ */
+std::string_view headerValue(const HttpHeaders &headers, std::string_view name);
+
+struct HttpRequest {
+  std::string Method;
+  /** Path without the query, beginning with '/'. */
+  std::string Path;
+  /** Text after '?', or "". */
+  std::string Query;
+  HttpHeaders Headers;
+  std::string Body;
+};
+
+/** @return the decoded value of @p name in a query, or "". Thread-safe. */
+std::string queryValue(std::string_view query, std::string_view name);
+
+struct HttpResponse {
+  int Status = 200;
+  HttpHeaders Headers;
+  std::string Body;
+};
+
+} // namespace chivefold
+
+#endif
--- /dev/null
+++ b/src/daemon/settings.cpp
@@ -0,0 +1,136 @@
+#include "chivefold/daemon/settings.h"
+
+#include "chivefold/daemon/version.h"
+
+#include <CLI/CLI.hpp>
+
+namespace chivefold {
+namespace {
+
+constexpr int BadSettingsExitCode = 2;
+
+std::string checkAddress(const std::string &text) {
+  if (parseAddress(text)) {
+    return {};
+  }
+  return "expected IP:PORT, got '" + text + "'";
+}
+
+std::string checkName(const std::string &text) {
+  const auto bad = text.find_first_not_of(
+      "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.");
+  if (!text.empty() && text.size() <= 64 && bad == std::string::npos) {
+    return {};
+  }
+  return "expected 1 to 64 letters, digits, '-', '_' or '.', got '" + text +
+         "'";
+}
+
+std::string checkUrl(const std::string &text) {
+  constexpr std::string_view scheme = "http://";
+  if (text.rfind(scheme, 0) == 0 &&
+      parseAddress(std::string_view(text).substr(scheme.size()))) {
+    return {};
+  }
+  return "expected http://IP:PORT, got '" + text + "'";
+}
+
+CLI::Option *addAddress(CLI::App &app, const std::string &flag, Address &to,
+                        const std::string &help) {
+  const auto set = [&to](const std::string &text) { to = *parseAddress(text); };
+  return app.add_option_function<std::string>(flag, set, help)
+      ->check(checkAddress)
+      ->type_name("IP:PORT");
+}
+
+CLI::Option *withEnvironment(CLI::Option *option) {
+  std::string name = "CHIVEFOLD_";
+  for (const char c : option->get_lnames().front()) {
+    name += c == '-' ? '_' : static_cast<char>(std::toupper(c));
+  }
+  return option->envname(name);
+}
+
+void addListeners(CLI::App &app, Settings &s) {
+  withEnvironment(addAddress(app, "--caller-listen", s.CallerListen,
+                             "address for callers (HTTP)"))
+      ->required();
+  withEnvironment(addAddress(app, "--peer-listen", s.PeerListen,
+                             "address for other daemons"))
+      ->required();
+  withEnvironment(addAddress(app, "--admin-listen", s.AdminListen,
+                             "address for operators (HTTP)"))
+      ->required();
+  withEnvironment(addAddress(app, "--backend-server", s.BackendServer,
+                             "the backend server on this host (HTTP)"))
+      ->required();
+}
+
+void addIdentity(CLI::App &app, Settings &s) {
+  const auto name = [&app](const char *flag, std::string &to,
+                           const char *help) {
+    withEnvironment(app.add_option(flag, to, help))
+        ->required()
+        ->check(checkName)
+        ->type_name("NAME");
+  };
+  name("--data-centre", s.DataCentre, "data centre of this host");
+  name("--region", s.Region, "region of this host");
+  name("--service", s.Service, "service of the backend server");
+  name("--service-version", s.ServiceVersion, "version of the backend server");
+}
+
+void addRest(CLI::App &app, Settings &s) {
+  withEnvironment(app.add_option("--log-url", s.LogUrl, "the platform's log"))
+      ->required()
+      ->check(checkUrl)
+      ->type_name("http://IP:PORT");
+  const auto seeds = [&s](const std::vector<std::string> &texts) {
+    for (const auto &it : texts) {
+      s.Seeds.push_back(*parseAddress(it));
+    }
+  };
+  withEnvironment(
+      app.add_option_function<std::vector<std::string>>(
+          "--seeds", seeds, "peer addresses of other daemons, comma-separated"))
+      ->delimiter(',')
+      ->check(checkAddress)
+      ->type_name("IP:PORT,...");
+  withEnvironment(
+      app.add_option("--log-level", s.LogLevel, "least level that is logged"))
+      ->check(CLI::IsMember({"trace", "debug", "info", "warn", "error"}))
+      ->capture_default_str();
+  withEnvironment(app.add_option("--drain-ms", s.DrainMs,
+                                 "time that a planned stop may take"))
+      ->check(CLI::Range(0, 600000))
+      ->capture_default_str();
+}
+
+} // namespace
+
+ParsedSettings parseSettings(int argc, const char *const *argv) {
+  ParsedSettings parsed;
+  Settings s;
+  CLI::App app("chivefoldd: proxy, gate and member beside one backend server");
+  app.set_version_flag("--version", std::string(ProgramVersion));
+  addListeners(app, s);
+  addIdentity(app, s);
+  addRest(app, s);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::CallForHelp &) {
+    parsed.Output = app.help();
+    return parsed;
+  } catch (const CLI::CallForVersion &) {
+    parsed.Output = std::string(ProgramVersion) + "\n";
+    return parsed;
+  } catch (const CLI::ParseError &e) {
+    parsed.Output = std::string("chivefoldd: ") + e.what() + "\n";
+    parsed.ExitCode = BadSettingsExitCode;
+    return parsed;
+  }
+  parsed.Value = s;
+  return parsed;
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/tests/unit/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/unit/types_test.cpp
@@ -0,0 +1,30 @@
+#include "chivefold/core/error.h"
+#include "chivefold/core/types.h"
+
+#include <catch2/catch.hpp>
+
+using namespace chivefold;
+
+// Guards against an address that is accepted without being an IP number and a
+// port, since daemons never resolve names.
+TEST_CASE("addresses are IP numbers with a port", "[types]") {
+  const auto v4 = parseAddress("127.0.0.1:80");
+  REQUIRE(v4.has_value());
+  CHECK(toString(*v4) == "127.0.0.1:80");
+  const auto v6 = parseAddress("[::1]:8080");
+  REQUIRE(v6.has_value());
+  CHECK(toString(*v6) == "[::1]:8080");
+  for (const auto *text : {"", "127.0.0.1", "localhost:80",
+                           "1.2.3.4:", "1.2.3.4:70000", "1.2.3.4:8x"}) {
+    CHECK_FALSE(parseAddress(text).has_value());
+  }
+}
+
+// Guards against an error code that is printed under a name that cannot be
+// parsed.
+TEST_CASE("error names parse back", "[types]") {
+  for (int n = 0; n <= static_cast<int>(ErrorCode::Conflict); ++n) {
+    const auto ec = static_cast<ErrorCode>(n);
+    CHECK(errorFromName(errorName(ec)) == ec);
+  }
+}
