Declare the control state and the member table

Cause: the daemon wires against these interfaces while they are implemented. Ruled out: nothing yet. Conclusion: headers only.

--- /dev/null
+++ b/include/chivefold/core/control_state.h
@@ -0,0 +1,241 @@
+/**
+ * @file
+ * Deterministic replay of the log into the state that all daemons agree on.
+ */
+#ifndef CHIVEFOLD_CORE_CONTROL_STATE_H
+#define CHIVEFOLD_CORE_CONTROL_STATE_H
+
+#include "chivefold/core/claim_history.h"
+#include "chivefold/core/configuration.h"
+#include "chivefold/core/error.h"
+#include "chivefold/core/record.h"
+#include "chivefold/core/types.h"
+#include "chivefold/core/verdict.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chivefold {
+
+/** Bounds of the replicated state. Each is part of the replay rules: all
+ * daemons must use the same values, or their digests differ. */
+struct ControlStateLimits {
+  static constexpr std::size_t MaxPendingChanges = 64;
+  static constexpr std::size_t MaxPendingBytes = 4U << 20U;
+  static constexpr std::size_t MaxAnnounces = 64;
+  /** Ended moves of removed services are dropped, oldest first, above this. */
+  static constexpr std::size_t MaxMoves = ConfigurationLimits::MaxServices;
+  static constexpr std::uint32_t FullShareBasisPoints = 10'000;
+};
+
+/** The newest move of one service. */
+struct MoveState {
+  std::string Service;
+  /** Offset of the change that requested the move; identifies it. */
+  Version Move = Version::None;
+  std::string FromVersion;
+  std::string ToVersion;
+  UtcTime Deadline{};
+  std::uint32_t ShareBasisPoints = 0;
+  /** Offset of the newest step that counted, or None. */
+  LogOffset StepOffset = LogOffset::None;
+  bool Ended = false;
+  /** Valid if Ended. */
+  MoveResult Result = MoveResult::TakenBack;
+  LogOffset EndOffset = LogOffset::None;
+  std::string Reason;
+  std::string Evidence;
+};
+
+/** Lease of a running move. */
+struct Lease {
+  std::string Service;
+  Version Move = Version::None;
+  DaemonId Holder;
+  Epoch LeaseEpoch = Epoch::None;
+  /** Newest record of the holder that counted; a candidate restarts its
+   * takeover timer when this changes. */
+  LogOffset LastOffset = LogOffset::None;
+};
+
+/** Whether a data centre is taken out, and the record that decided it. */
+struct DataCentreState {
+  std::string Name;
+  bool TakenOut = false;
+  LogOffset Offset = LogOffset::None;
+};
+
+/** An announced daemon. */
+struct Announce {
+  Address Peer;
+  std::string DataCentre;
+  std::string Region;
+  LogOffset Offset = LogOffset::None;
+};
+
+/**
+ * Extends the digest of a multi-record change by one part. Start with 0 and
+ * pass the encoded part records in index order.
+ * @return the value for ChangeCommitRecord::Digest. Thread-safe.
+ */
+std::uint64_t chainPartDigest(std::uint64_t previous,
+                              std::string_view encodedPart);
+
+/**
+ * Checks that every reference of a configuration resolves and that it keeps
+ * the limits: dependencies, current and target versions, data centres, depth.
+ * @return InvalidText with the first violation. Thread-safe.
+ */
+Status checkClosure(const Configuration &config);
+
+/**
+ * State machine over the log. Two instances that applied the same offsets have
+ * equal digests. Not thread-safe; the configuration that it hands out is
+ * immutable and may be read anywhere.
+ */
+class ControlState {
+public:
+  ControlState();
+
+  /**
+   * Applies the entry after applied(). Entries at or below applied() are
+   * ignored (AlreadyApplied); undecodable ones count as applied.
+   * @return what became of the record, or Conflict if entries between
+   * applied() and this one are missing; the caller then fetches them.
+   */
+  Result<VerdictKind> apply(const LogEntry &entry);
+
+  /** @return the offset of the newest applied entry. */
+  LogOffset applied() const { return Applied; }
+
+  /** @return the offset of the change in force, None before the first. */
+  Version version() const { return CurrentVersion; }
+
+  /** @return the configuration in force, never null. */
+  std::shared_ptr<const Configuration> configuration() const { return Config; }
+
+  /** @return the verdict on the record, while it is among the newest
+   * VerdictHistory::MaxEntries ids. */
+  std::optional<Verdict> verdict(const RecordId &id) const {
+    return Verdicts.find(id);
+  }
+
+  /** @return the newest move of each service, running or ended, by name. */
+  std::vector<MoveState> moves() const;
+
+  /** @return the newest move of @p service or nullptr. Valid until the next
+   * call of apply(). */
+  const MoveState *move(std::string_view service) const;
+
+  /** @return the lease of the running move of @p service or nullptr. Valid
+   * until the next call of apply(). */
+  const Lease *lease(std::string_view service) const;
+
+  /** @return the version that gets the traffic of @p service that no move
+   * shifts, empty if the service is unknown. */
+  std::string effectiveVersion(std::string_view service) const;
+
+  /** @return the claim that counts for @p key, while it is retained. */
+  std::optional<Claim> claim(const KeyHash &key) const {
+    return Claims.find(key);
+  }
+
+  bool takenOut(std::string_view dataCentre) const;
+
+  /** @return the state of @p dataCentre or nullptr. Valid until the next call
+   * of apply(). */
+  const DataCentreState *dataCentre(std::string_view dataCentre) const;
+
+  /** @return the newest announces, oldest first. */
+  const std::deque<Announce> &announces() const { return Announces; }
+
+  /** @return a hash of the whole state; cached until the next apply(). */
+  std::uint64_t digest() const;
+
+  /** @return the state as a ControlSnapshot buffer. */
+  std::string encodeSnapshot() const;
+
+  /**
+   * Decodes untrusted bytes.
+   * @return the state, or InvalidRecord if the bytes are damaged, partial,
+   * break a bound, or do not hash to the digest they carry. Thread-safe.
+   */
+  static Result<ControlState> decodeSnapshot(std::string_view bytes);
+
+private:
+  friend class ControlSnapshotCodec;
+
+  struct PendingPart {
+    LogOffset Offset = LogOffset::None;
+    std::string Bytes;
+  };
+  struct PendingChange {
+    RecordId ChangeId;
+    std::map<std::uint32_t, PendingPart> Parts;
+  };
+  struct VersionOverride {
+    std::string ToVersion;
+    LogOffset Offset = LogOffset::None;
+  };
+  struct Place {
+    LogOffset Offset;
+    const Record &Source;
+    std::string_view Bytes;
+  };
+
+  Verdict judge(const Place &at);
+  Verdict on(const Place &at, const ChangeRecord &r);
+  Verdict on(const Place &at, const ChangePartRecord &r);
+  Verdict on(const Place &at, const ChangeCommitRecord &r);
+  Verdict on(const Place &at, const LeaseTakeRecord &r);
+  Verdict on(const Place &at, const MoveStepRecord &r);
+  Verdict on(const Place &at, const MoveEndRecord &r);
+  Verdict on(const Place &at, const DataCentreRecord &r);
+  Verdict on(const Place &at, const AnnounceRecord &r);
+  Verdict on(const Place &at, const ClaimRecord &r);
+  Verdict on(const Place &at, const SnapshotPartRecord &r);
+
+  Verdict lostRace() const;
+  Verdict change(const Place &at, const std::vector<Section> &sections);
+  bool overridesStayValid(const Configuration &next) const;
+  void changeMoves(LogOffset at, const Configuration &next);
+  void changeMove(LogOffset at, const Service *before, const Service &after);
+  void changeDataCentres(LogOffset at, const Configuration &next);
+  MoveState *runningMove(const std::string &service, Version move);
+  void endMove(MoveState &move, LogOffset at, MoveResult result,
+               const std::string &reason);
+  void boundMoves();
+  bool addPart(const RecordId &changeId, std::uint32_t index,
+               PendingPart part);
+  void dropPending(const RecordId &changeId);
+  void setConfiguration(std::shared_ptr<const Configuration> next);
+  std::uint64_t computeDigest() const;
+
+  LogOffset Applied = LogOffset::None;
+  Version CurrentVersion = Version::None;
+  std::string VersionWriter;
+  std::shared_ptr<const Configuration> Config;
+  std::uint64_t ConfigDigest = 0;
+  std::map<std::string, MoveState, std::less<>> Moves;
+  std::map<std::string, Lease, std::less<>> Leases;
+  /** Versions that finished moves made current, by service. */
+  std::map<std::string, VersionOverride, std::less<>> Overrides;
+  std::map<std::string, DataCentreState, std::less<>> DataCentres;
+  std::deque<Announce> Announces;
+  ClaimHistory Claims;
+  VerdictHistory Verdicts;
+  /** Oldest first part first. */
+  std::deque<PendingChange> Pending;
+  std::size_t PendingBytes = 0;
+  mutable std::optional<std::uint64_t> CachedDigest;
+};
+
+} // namespace chivefold
+
+#endif
--- /dev/null
+++ b/include/chivefold/core/member_table.h
@@ -0,0 +1,198 @@
+/**
+ * @file
+ * Membership of the fleet by probes, suspicion and piggybacked updates (SWIM).
+ */
+#ifndef CHIVEFOLD_CORE_MEMBER_TABLE_H
+#define CHIVEFOLD_CORE_MEMBER_TABLE_H
+
+#include "chivefold/core/types.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chivefold {
+
+/** State of a member. At equal incarnation the later constant prevails. */
+enum class MemberState : std::uint8_t {
+  Alive,
+  /** Finishes its calls and gets no new work. */
+  Leaving,
+  Suspect,
+  Unreachable,
+  Left,
+};
+
+/** @return the lower-case name of @p state. Thread-safe. */
+std::string_view memberStateName(MemberState state);
+std::optional<MemberState> memberStateFromName(std::string_view name);
+
+/** One daemon and its backend server, as gossiped. */
+struct Member {
+  Address Peer;
+  std::string DataCentre;
+  std::string Region;
+  std::string Service;
+  std::string ServiceVersion;
+  MemberState State = MemberState::Alive;
+  std::uint64_t Incarnation = 0;
+  std::uint64_t BootId = 0;
+  /** Highest applied offset known of any run of the daemon at this address. */
+  LogOffset Floor = LogOffset::None;
+  std::uint16_t CallerPort = 0;
+};
+
+/** Intervals and bounds of the membership protocol. */
+struct MembershipLimits {
+  static constexpr std::size_t MaxMembers = 8192;
+  static constexpr std::size_t MaxUpdatesPerMessage = 16;
+  static constexpr std::size_t Readers = 3;
+  static constexpr std::size_t ProbeHelpers = 3;
+  static constexpr Duration ProbeInterval = std::chrono::seconds(1);
+  /** Every n-th probe tries an unreachable member, so that a healed partition
+   * is noticed. */
+  static constexpr std::uint64_t UnreachableProbeEvery = 8;
+  static constexpr Duration SuspicionTimeout = std::chrono::seconds(4);
+  static constexpr Duration DeadRetention = std::chrono::hours(2);
+  static constexpr Duration MassWindow = std::chrono::seconds(10);
+  /** Suspicion of fewer members than this is never treated as mass suspicion,
+   * since one member can be a quarter of a small data centre. */
+  static constexpr std::size_t MassMinimum = 3;
+};
+
+/**
+ * The members known to one daemon. Not thread-safe. Randomness comes from the
+ * seed given to the constructor.
+ */
+class MemberTable {
+public:
+  /** @param self this daemon; its incarnation is raised by refutation. */
+  MemberTable(Member self, std::uint64_t seed);
+
+  const Member &self() const { return Self; }
+
+  /** Records the own applied offset as floor. Never lowers it. */
+  void setFloor(LogOffset floor);
+
+  /** Announces a changed service version or state of this daemon. */
+  void updateSelf(std::string serviceVersion, MemberState state);
+
+  /**
+   * Merges a gossiped update: a higher incarnation prevails, then the later
+   * state, then the higher BootId. An update about this daemon that suspects
+   * it or has a higher incarnation raises the own incarnation.
+   * @return whether the update changed this table; it is then gossiped on.
+   */
+  bool merge(const Member &update, TimePoint now);
+
+  /**
+   * Merges what a member says about itself in a message received from it.
+   * @return the entry to send back to it, if this table holds one that it must
+   * refute (suspected, or of an earlier run with a higher incarnation).
+   */
+  std::optional<Member> heardFrom(const Member &sender, TimePoint now);
+
+  /** Handles expired suspicions and forgets members that are dead for
+   * DeadRetention. Call about once a second. */
+  void tick(TimePoint now);
+
+  /** @return the member to probe now, at most one per ProbeInterval. Each live
+   * member is returned once per round over a shuffled list, so detection takes
+   * at most two rounds. */
+  std::optional<Address> nextProbe(TimePoint now);
+
+  /** @return up to ProbeHelpers live members for an indirect probe. */
+  std::vector<Address> probeHelpers(const Address &target);
+
+  /** Neither the probe nor the indirect probes were answered: suspects the
+   * member, or marks it unreachable without gossip in a mass suspicion. */
+  void probeFailed(const Address &target, TimePoint now);
+
+  /**
+   * @return updates to piggyback on a message, those sent least often first, at
+   * most MaxUpdatesPerMessage; each is returned 3*ceil(log2(n+1)) times at
+   * most. The queue holds one update per member.
+   */
+  std::vector<Member> takeUpdates();
+
+  /** @return the member at @p address or nullptr; valid until the next
+   * non-const call. Includes this daemon. */
+  const Member *find(const Address &address) const;
+
+  /** @return all members including this one, dead ones too, by address. */
+  std::vector<Member> members() const;
+
+  /** @return the number of alive members including this one. */
+  std::size_t aliveCount() const;
+
+  /** @return how many data centres have an alive member other than this one. */
+  std::size_t otherAliveDataCentres() const;
+
+  /** @return the highest floor known for the daemon at @p address. */
+  LogOffset floorOf(const Address &address) const;
+
+  /** @return the daemons of @p dataCentre that read the log: the first alive
+   * members by rendezvous hash, at most Readers. */
+  std::vector<Address> readers(std::string_view dataCentre) const;
+
+  /** @return whether this daemon is one of the readers of its data centre. */
+  bool isReader() const;
+
+  /**
+   * @return up to @p n distinct random alive members without this one; at least
+   * one is in another data centre if @p mustIncludeOtherDc and there is one.
+   */
+  std::vector<Address> randomPeers(std::size_t n, bool mustIncludeOtherDc);
+
+private:
+  struct Entry {
+    Member Value;
+    std::uint64_t Weight = 0;
+    /** Suspect: when it becomes unreachable. Dead: when it is forgotten. */
+    TimePoint Deadline{};
+    /** Unreachable by mass suspicion, which was not gossiped. */
+    bool Quiet = false;
+  };
+  struct Update {
+    std::uint32_t Transmissions = 0;
+    std::uint64_t Order = 0;
+  };
+  using MemberMap = std::map<Address, Entry>;
+
+  bool mergeSelf(const Member &update);
+  bool insert(const Member &update, TimePoint now);
+  void setState(Entry &entry, MemberState state, TimePoint now);
+  void suspect(Entry &entry, TimePoint now);
+  bool noteSuspicion(const std::string &dataCentre, TimePoint now);
+  void markMassUnreachable(const std::string &dataCentre, TimePoint now);
+  bool evictDead();
+  void enqueue(const Address &address);
+  std::uint32_t maxTransmissions() const;
+  void reshuffle();
+  std::optional<Address> unreachableProbe();
+  std::vector<const Member *> aliveOthers() const;
+
+  Member Self;
+  std::uint64_t SelfWeight;
+  std::mt19937_64 Random;
+  MemberMap Members;
+  /** At most one per member and this daemon. */
+  std::map<Address, Update> Updates;
+  std::uint64_t UpdateOrder = 0;
+  std::vector<Address> ProbeOrder;
+  std::size_t ProbePosition = 0;
+  std::uint64_t Probes = 0;
+  TimePoint NextProbe{};
+  /** Times of suspicions within MassWindow by data centre; at most MaxMembers
+   * each, older ones are dropped. */
+  std::map<std::string, std::deque<TimePoint>> Suspicions;
+};
+
+} // namespace chivefold
+
+#endif
