--- a/include/chivefold/core/record.h
+++ b/include/chivefold/core/record.h
@@ -10,6 +10,7 @@
 #include "chivefold/core/types.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -142,6 +143,40 @@
  */
 Result<Record> decodeRecord(std::string_view bytes);
 
+/** Most parts of one change, which bounds what readers keep without a commit.
+ */
+constexpr std::uint32_t MaxChangeParts = 256;
+
+/** Most claims in one record. */
+constexpr std::size_t MaxClaimKeys = 1024;
+
+/** Seed of the digest of a change, before its first part. */
+constexpr std::uint64_t InitialChangeDigest = 0;
+
+/**
+ * Adds one encoded part to the digest of a change. Parts are added in index
+ * order, starting from InitialChangeDigest.
+ * @param digest digest of the parts before this one.
+ * @param part the part's record as encoded in the log.
+ * @return the digest that includes the part. Thread-safe.
+ */
+std::uint64_t changeDigest(std::uint64_t digest, std::string_view part);
+
+/**
+ * Builds the records of a change, in the order in which they are appended: one
+ * ChangeRecord if it fits MaxRecordBytes, else parts and a commit.
+ * @param base version that the change was based on.
+ * @param sections the change; applied in order.
+ * @param newId gives the identity of each record.
+ * @param writer who makes the change, for operators.
+ * @return the records, or TooLarge if one section alone does not fit a record
+ * or more than MaxChangeParts parts are needed. Thread-safe if @p newId is.
+ */
+Result<std::vector<Record>> makeChange(Version base,
+                                       std::vector<Section> sections,
+                                       const std::function<RecordId()> &newId,
+                                       const std::string &writer);
+
 } // namespace chivefold
 
 #endif
