--- a/include/chivefold/core/control_state.h
+++ b/include/chivefold/core/control_state.h
@@ -79,14 +79,6 @@
   LogOffset Offset = LogOffset::None;
 };
 
-/**
- * Extends the digest of a multi-record change by one part. Start with 0 and
- * pass the encoded part records in index order.
- * @return the value for ChangeCommitRecord::Digest. Thread-safe.
- */
-std::uint64_t chainPartDigest(std::uint64_t previous,
-                              std::string_view encodedPart);
-
 /**
  * Checks that every reference of a configuration resolves and that it keeps
  * the limits: dependencies, current and target versions, data centres, depth.
--- /dev/null
+++ b/include/chivefold/core/dissemination.h
@@ -0,0 +1,144 @@
+/**
+ * @file
+ * Dissemination of log records between daemons.
+ */
+#ifndef CHIVEFOLD_CORE_DISSEMINATION_H
+#define CHIVEFOLD_CORE_DISSEMINATION_H
+
+#include "chivefold/core/control_state.h"
+#include "chivefold/core/member_table.h"
+#include "chivefold/core/record.h"
+#include "chivefold/core/recovery.h"
+#include "chivefold/core/types.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace chivefold {
+
+/** Bounds of dissemination. */
+struct DisseminationLimits {
+  static constexpr std::size_t RingRecords = 4096;
+  static constexpr std::size_t RingBytes = 4U << 20U;
+  /** Records held beyond a gap; the highest offsets are dropped on overflow and
+   * fetched again later. */
+  static constexpr std::size_t HeldRecords = 256;
+  static constexpr std::size_t Fanout = 4;
+  /** Bytes of records in one message; a receiver fetches the rest. At least
+   * one record is always included. */
+  static constexpr std::size_t MessageBytes = 256U << 10U;
+  /** After this time an unanswered fetch is repeated with another peer. */
+  static constexpr Duration FetchTimeout = std::chrono::milliseconds(500);
+};
+
+/** Records for one peer. */
+struct Push {
+  Address Peer;
+  std::vector<LogEntry> Records;
+};
+
+/** A request for the records after an offset. */
+struct Fetch {
+  Address Peer;
+  LogOffset After = LogOffset::None;
+};
+
+/** What the caller does after records were accepted. */
+struct Accepted {
+  /** Records applied by this call. */
+  std::size_t Applied = 0;
+  std::vector<Push> Pushes;
+  std::optional<Fetch> Next;
+};
+
+/** Answer to a fetch. */
+struct Served {
+  std::vector<LogEntry> Records;
+  /** The records are no longer held; the peer must ask for a snapshot. */
+  bool SnapshotNeeded = false;
+};
+
+/**
+ * Replays records from the log and from peers into a control state and decides
+ * what goes to whom. Records may come in any order, doubled or late. Each
+ * record is forwarded once, when it is first applied. Not thread-safe.
+ */
+class Dissemination {
+public:
+  /** @param state replayed into. @param members chooses the peers and learns
+   * the applied offset. Both outlive this object. */
+  Dissemination(ControlState &state, MemberTable &members);
+
+  /**
+   * Accepts records.
+   * @param from the peer that sent them, none for the log.
+   * @return pushes of the records that were new, and a fetch if there is a gap
+   * or the message ended below what the peer is known to have.
+   */
+  Accepted accept(const std::vector<LogEntry> &records,
+                  const std::optional<Address> &from, TimePoint now);
+
+  /** A peer's probe or answer said that it has applied @p applied.
+   * @return the fetch to send, at most one at a time. */
+  std::optional<Fetch> peerApplied(const Address &peer, LogOffset applied,
+                                   TimePoint now);
+
+  /** Repeats a fetch that timed out. Call several times a second.
+   * @return the fetch to send to another peer, if one is due. */
+  std::optional<Fetch> tick(TimePoint now);
+
+  /** @return records after @p after, at most MessageBytes of them. */
+  Served serve(LogOffset after) const;
+
+  /**
+   * Replaces the state by a snapshot that is newer, then applies held records.
+   * @return Conflict if the snapshot is not newer than the state, since a
+   * version never goes backwards; InvalidRecord if it is damaged.
+   */
+  Status installSnapshot(std::string_view bytes, TimePoint now);
+
+  /** Like installSnapshot() with a decoded state, e.g. from the log. */
+  Status installState(ControlState state, TimePoint now);
+
+  /** @return the highest offset that is known to exist. */
+  LogOffset knownTail() const { return KnownTail; }
+
+  /** @return the number of records held beyond a gap. */
+  std::size_t heldCount() const { return Held.size(); }
+
+  Recovery &recovery() { return Starting; }
+
+  /** @return whether this daemon may serve, and why not. */
+  Readiness readiness();
+
+private:
+  bool applyOne(const LogEntry &entry);
+  void hold(const LogEntry &entry);
+  std::vector<LogEntry> applyHeld();
+  void remember(const LogEntry &entry);
+  std::vector<Push> pushesOf(const std::vector<LogEntry> &records,
+                             const std::optional<Address> &from);
+  std::optional<Fetch> fetchFrom(const Address &peer, TimePoint now);
+  std::optional<Fetch> fetchIfBehind(const std::optional<Address> &from,
+                                     TimePoint now);
+
+  ControlState &State;
+  MemberTable &Members;
+  Recovery Starting;
+  /** Newest applied records without gaps, oldest first. */
+  std::deque<LogEntry> Ring;
+  std::size_t RingBytes = 0;
+  std::map<LogOffset, LogEntry> Held;
+  LogOffset KnownTail = LogOffset::None;
+  /** A fetch is outstanding until then. */
+  std::optional<TimePoint> FetchDeadline;
+};
+
+} // namespace chivefold
+
+#endif
--- /dev/null
+++ b/include/chivefold/core/recovery.h
@@ -0,0 +1,89 @@
+/**
+ * @file
+ * Recovery of a starting daemon: when its state is new enough to serve.
+ */
+#ifndef CHIVEFOLD_CORE_RECOVERY_H
+#define CHIVEFOLD_CORE_RECOVERY_H
+
+#include "chivefold/core/types.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace chivefold {
+
+/** A peer's answer to the join of this daemon. */
+struct PeerAnswer {
+  Address Peer;
+  std::string DataCentre;
+  /** Whether the peer has recovered its own state. */
+  bool Ready = false;
+  LogOffset Applied = LogOffset::None;
+  /** Floor of the previous daemon at this daemon's address. */
+  LogOffset YourFloor = LogOffset::None;
+};
+
+/** What the recovery compares with. */
+struct RecoveryView {
+  /** Offset applied by this daemon. */
+  LogOffset Applied = LogOffset::None;
+  /** Alive members other than this daemon. */
+  std::size_t OtherMembers = 0;
+  /** Data centres of these. */
+  std::size_t OtherDataCentres = 0;
+};
+
+/** Whether a daemon may serve, and why not. */
+struct Readiness {
+  bool Ready = false;
+  /** For logs and operators; empty if ready. */
+  std::string Reason;
+};
+
+/**
+ * Decides when a starting daemon is ready (design 2.4): it has applied the
+ * log's tail as of its start, or, in an outage of the log, the newest state of
+ * enough peers, not below the floor of its predecessor. Once ready it stays
+ * ready. Not thread-safe.
+ */
+class Recovery {
+public:
+  static constexpr std::size_t PeersNeeded = 5;
+  static constexpr std::size_t DataCentresNeeded = 2;
+  /** Answers kept, one per peer; further peers are ignored. */
+  static constexpr std::size_t MaxAnswers = 64;
+
+  /** The log was reached. @param next offset of its next append; the first
+   * value given is the tail as of the start. */
+  void logReached(LogOffset next);
+
+  /** The log did not answer. Peers suffice only while this is the last word. */
+  void logUnavailable();
+
+  /** Records a peer's newest answer. */
+  void peerAnswered(const PeerAnswer &answer);
+
+  /** @return the readiness given @p view. */
+  Readiness update(const RecoveryView &view);
+
+  bool ready() const { return IsReady; }
+
+  /** @return the ready peer with the highest offset above @p applied, to fetch
+   * from, if there is one. */
+  std::optional<Address> bestPeer(LogOffset applied) const;
+
+private:
+  std::string peersMissing(const RecoveryView &view) const;
+
+  bool IsReady = false;
+  bool LogDown = false;
+  std::optional<LogOffset> TailNext;
+  LogOffset Floor = LogOffset::None;
+  std::map<Address, PeerAnswer> Answers;
+};
+
+} // namespace chivefold
+
+#endif
--- a/include/chivefold/core/verdict.h
+++ b/include/chivefold/core/verdict.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 
 namespace chivefold {
 
@@ -43,6 +44,13 @@
 
 /** What became of one record. */
 struct Verdict {
+  Verdict() = default;
+  explicit Verdict(VerdictKind kind) : Kind(kind) {}
+  Verdict(VerdictKind kind, LogOffset offset, LogOffset winner,
+          std::string writer)
+      : Kind(kind), Offset(offset), WinnerOffset(winner),
+        WinnerWriter(std::move(writer)) {}
+
   VerdictKind Kind = VerdictKind::Counted;
   /** Place of the record. */
   LogOffset Offset = LogOffset::None;
--- /dev/null
+++ b/src/core/control_state_move.cpp
@@ -0,0 +1,77 @@
+// Leases, steps and ends of moves.
+#include "chivefold/core/control_state.h"
+
+namespace chivefold {
+
+MoveState *ControlState::runningMove(const std::string &service,
+                                     Version move) {
+  const auto it = Moves.find(service);
+  const bool running =
+      it != Moves.end() && it->second.Move == move && !it->second.Ended;
+  return running ? &it->second : nullptr;
+}
+
+Verdict ControlState::on(const Place &at, const LeaseTakeRecord &r) {
+  if (runningMove(r.Service, r.Move) == nullptr) {
+    return Verdict(VerdictKind::Unknown);
+  }
+  const auto it = Leases.find(r.Service);
+  const auto current =
+      it == Leases.end() ? Epoch::None : it->second.LeaseEpoch;
+  if (r.ExpectedEpoch != current) {
+    return Verdict(VerdictKind::StaleEpoch);
+  }
+  if (it != Leases.end() && it->second.Holder == r.Holder) {
+    it->second.LastOffset = at.Offset;
+    return {};
+  }
+  Leases[r.Service] = {r.Service, r.Move, r.Holder, at.Offset, at.Offset};
+  return {};
+}
+
+Verdict ControlState::on(const Place &at, const MoveStepRecord &r) {
+  auto *m = runningMove(r.Service, r.Move);
+  if (m == nullptr ||
+      r.ShareBasisPoints > ControlStateLimits::FullShareBasisPoints) {
+    return Verdict(VerdictKind::Unknown);
+  }
+  const auto it = Leases.find(r.Service);
+  if (it == Leases.end() || it->second.LeaseEpoch != r.LeaseEpoch) {
+    return Verdict(VerdictKind::StaleEpoch);
+  }
+  it->second.LastOffset = at.Offset;
+  m->ShareBasisPoints = r.ShareBasisPoints;
+  m->StepOffset = at.Offset;
+  return {};
+}
+
+Verdict ControlState::on(const Place &at, const MoveEndRecord &r) {
+  auto *m = runningMove(r.Service, r.Move);
+  if (m == nullptr) {
+    return Verdict(VerdictKind::Unknown);
+  }
+  if (r.Result == MoveResult::Done) {
+    const auto it = Leases.find(r.Service);
+    if (it == Leases.end() || it->second.LeaseEpoch != r.LeaseEpoch) {
+      return Verdict(VerdictKind::StaleEpoch);
+    }
+    Overrides[r.Service] = {m->ToVersion, at.Offset};
+  }
+  endMove(*m, at.Offset, r.Result, r.Reason);
+  m->Evidence = r.Evidence;
+  return {};
+}
+
+void ControlState::endMove(MoveState &move, LogOffset at, MoveResult result,
+                           const std::string &reason) {
+  move.Ended = true;
+  move.Result = result;
+  move.EndOffset = at;
+  move.Reason = reason;
+  if (result == MoveResult::TakenBack) {
+    move.ShareBasisPoints = 0;
+  }
+  Leases.erase(move.Service);
+}
+
+} // namespace chivefold
