--- /dev/null
+++ b/include/chivefold/io/logging.h
@@ -0,0 +1,89 @@
+/**
+ * @file
+ * Log lines of a process: a prefix per part, a message and key=value fields.
+ */
+#ifndef CHIVEFOLD_IO_LOGGING_H
+#define CHIVEFOLD_IO_LOGGING_H
+
+#include "chivefold/core/error.h"
+
+#include <cstdint>
+#include <functional>
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace chivefold {
+
+enum class LogLevel : std::uint8_t { Trace, Debug, Info, Warn, Error };
+
+/** @return "trace", "debug", "info", "warn" or "error". Thread-safe. */
+std::string_view logLevelName(LogLevel level);
+
+/** Sends all log lines to stderr. Called once at the start of a process. */
+void initLogging(LogLevel level);
+
+/** Sets the level of all parts. @return InvalidArgument for another name than
+ * those of logLevelName(). Thread-safe. */
+Status setLogLevel(std::string_view name);
+
+/** One key=value pair of a log line. */
+struct LogField {
+  LogField(std::string_view key, std::string_view value)
+      : Key(key), Value(value) {}
+  LogField(std::string_view key, std::uint64_t value)
+      : Key(key), Value(std::to_string(value)) {}
+
+  std::string_view Key;
+  std::string Value;
+};
+
+/**
+ * Writes the lines of one part of the process. At most MaxRepeats identical
+ * messages a second are written; further ones are counted, and the count is
+ * written as suppressed=N with the next line of that message. Messages are
+ * compared without their fields. Not thread-safe.
+ */
+class Logger {
+public:
+  static constexpr std::uint32_t MaxRepeats = 10;
+  /** Messages counted at the same time; the oldest period is dropped. */
+  static constexpr std::size_t MaxMessages = 64;
+  using Seconds = std::function<std::uint64_t()>;
+
+  /** @param prefix fixed name of the part. @param seconds a monotonic clock in
+   * whole seconds; empty for that of the host. */
+  explicit Logger(std::string prefix, Seconds seconds = {});
+  ~Logger();
+  Logger(const Logger &) = delete;
+  Logger &operator=(const Logger &) = delete;
+
+  void log(LogLevel level, std::string_view message,
+           std::initializer_list<LogField> fields = {});
+
+  void debug(std::string_view message,
+             std::initializer_list<LogField> fields = {}) {
+    log(LogLevel::Debug, message, fields);
+  }
+  void info(std::string_view message,
+            std::initializer_list<LogField> fields = {}) {
+    log(LogLevel::Info, message, fields);
+  }
+  void warn(std::string_view message,
+            std::initializer_list<LogField> fields = {}) {
+    log(LogLevel::Warn, message, fields);
+  }
+  void error(std::string_view message,
+             std::initializer_list<LogField> fields = {}) {
+    log(LogLevel::Error, message, fields);
+  }
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> State;
+};
+
+} // namespace chivefold
+
+#endif
