--- /dev/null
+++ b/tests/unit/reactor_test.cpp
@@ -0,0 +1,46 @@
+#include "chivefold/io/reactor.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <string>
+#include <thread>
+
+using namespace chivefold;
+
+// Guards against timers that run out of order, run after they were cancelled,
+// or starve the loop when a task schedules another that is already due.
+TEST_CASE("timers run in the order of their deadlines", "[reactor]") {
+  Reactor reactor;
+  std::string order;
+  const auto now = reactor.now();
+  reactor.schedule(now + std::chrono::milliseconds(20), [&] { order += 'c'; });
+  reactor.schedule(now + std::chrono::milliseconds(10), [&] { order += 'b'; });
+  reactor.schedule(now, [&] { order += 'a'; });
+  const auto id = reactor.schedule(now, [&] { order += 'x'; });
+  reactor.cancel(id);
+  reactor.cancel(id);
+  reactor.schedule(now + std::chrono::milliseconds(30),
+                   [&] { reactor.stop(); });
+  reactor.run();
+  CHECK(order == "abc");
+  CHECK(reactor.now() >= now + std::chrono::milliseconds(30));
+}
+
+// Guards against a signal that is lost or whose task runs inside the signal
+// handler, and against stop() from another thread that does not wake the loop.
+TEST_CASE("signals and stop() wake the loop", "[reactor]") {
+  Reactor reactor;
+  int seen = 0;
+  reactor.onSignal(SIGUSR1, [&] { ++seen; });
+  reactor.schedule(reactor.now(), [&] {
+    std::raise(SIGUSR1);
+    CHECK(seen == 0);
+    reactor.schedule(reactor.now() + std::chrono::milliseconds(20),
+                     [&] { reactor.stop(); });
+  });
+  reactor.run();
+  CHECK(seen == 1);
+  std::thread other([&] { reactor.stop(); });
+  reactor.run();
+  other.join();
+}
