Wire the daemon: membership, control state, calls, claims, moves

Ruled out: one thread per call and locks; one reactor owns all state. Ruled out: "not run" from a daemon that is not ready when the request has a key, since an earlier attempt with that key may have run elsewhere.

--- /dev/null
+++ b/include/chivefold/daemon/call_message.h
@@ -0,0 +1,90 @@
+/**
+ * @file
+ * One call as it travels from its caller to a backend server and back.
+ */
+#ifndef CHIVEFOLD_DAEMON_CALL_MESSAGE_H
+#define CHIVEFOLD_DAEMON_CALL_MESSAGE_H
+
+#include "chivefold/core/error.h"
+#include "chivefold/core/gate.h"
+#include "chivefold/core/types.h"
+#include "chivefold/io/http.h"
+#include "peer_generated.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace chivefold {
+
+/** Headers of the protocol with callers and backend servers. */
+struct CallHeaders {
+  static constexpr std::string_view Key = "Idempotency-Key";
+  static constexpr std::string_view TimeoutMs = "Chivefold-Timeout-Ms";
+  static constexpr std::string_view Depth = "Chivefold-Depth";
+  static constexpr std::string_view RetryBudget = "Chivefold-Retry-Budget";
+  static constexpr std::string_view Outcome = "Chivefold-Outcome";
+  static constexpr std::string_view RetryAfterMs = "Chivefold-Retry-After-Ms";
+  static constexpr std::string_view Version = "Chivefold-Version";
+  static constexpr std::string_view ServedBy = "Chivefold-Served-By-Version";
+};
+
+/** A request. */
+struct CallMessage {
+  std::string Service;
+  std::string Method;
+  /** Path below the service, with the query. */
+  std::string Target;
+  HttpHeaders Headers;
+  std::string Body;
+  /** Idempotency key, or "". */
+  std::string Key;
+  TimePoint Deadline{};
+  std::uint32_t Depth = 0;
+  std::uint32_t RetryBudget = 0;
+  std::uint32_t Worth = 1;
+  bool Repeatable = false;
+  /** Sent to the daemon that holds the claim of Key, which decides. */
+  bool ToClaimHolder = false;
+
+  /** @return Target without the query. */
+  std::string_view path() const;
+};
+
+/** What became of a request. */
+struct CallResult {
+  Outcome Result = Outcome::Unknown;
+  ErrorCode Code = ErrorCode::Ok;
+  /** Status for the caller; that of the backend server if answered. */
+  std::uint16_t Status = 0;
+  HttpHeaders Headers;
+  std::string Body;
+  /** Time after which the caller may come back, unless answered. */
+  Duration RetryAfter{};
+  /** State of the gate that decided; Limit is 0 if none did. */
+  GateState Gate;
+};
+
+using CallReply = std::function<void(CallResult)>;
+
+/** @return a result without a response of a backend server. Thread-safe. */
+CallResult failedCall(Outcome outcome, ErrorCode code, std::uint16_t status,
+                      Duration retryAfter);
+
+/** @return the request for a frame; @p now turns the deadline into time left. Thread-safe. */
+wire::CallRequestT toWire(const CallMessage &call, TimePoint now);
+CallMessage fromWire(wire::CallRequestT &request, TimePoint now);
+
+wire::CallAnswerT toWire(const CallResult &result);
+/** @return the result, or nothing if a field is out of range. Thread-safe. */
+std::optional<CallResult> fromWire(wire::CallAnswerT &answer);
+
+/** @return the headers without those of one connection or of this protocol. Thread-safe. */
+HttpHeaders endToEndHeaders(const HttpHeaders &headers);
+
+/** @return the number in @p text, or nothing. Thread-safe. */
+std::optional<std::uint32_t> parseNumber(std::string_view text);
+
+} // namespace chivefold
+
+#endif
--- /dev/null
+++ b/src/daemon/call_message.cpp
@@ -0,0 +1,161 @@
+#include "chivefold/daemon/call_message.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <strings.h>
+
+namespace chivefold {
+namespace {
+
+constexpr std::array<std::string_view, 18> HopHeaders = {
+    "Connection",         "Keep-Alive",
+    "Proxy-Connection",   "Proxy-Authenticate",
+    "Transfer-Encoding",  "TE",
+    "Trailer",            "Upgrade",
+    "Host",               "Content-Length",
+    "Expect",             CallHeaders::Key,
+    CallHeaders::Outcome, CallHeaders::TimeoutMs,
+    CallHeaders::Depth,   CallHeaders::RetryBudget,
+    CallHeaders::Version, CallHeaders::RetryAfterMs};
+
+bool equalsIgnoringCase(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+std::vector<std::unique_ptr<wire::HeaderFieldT>>
+toWire(const HttpHeaders &headers) {
+  std::vector<std::unique_ptr<wire::HeaderFieldT>> to;
+  for (const auto &it : headers) {
+    auto field = std::make_unique<wire::HeaderFieldT>();
+    field->name = it.Name;
+    field->value = it.Value;
+    to.push_back(std::move(field));
+  }
+  return to;
+}
+
+HttpHeaders
+fromWire(std::vector<std::unique_ptr<wire::HeaderFieldT>> &headers) {
+  HttpHeaders to;
+  for (auto &it : headers) {
+    to.push_back({std::move(it->name), std::move(it->value)});
+  }
+  return to;
+}
+
+std::uint32_t toMs(Duration d) {
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(d);
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(ms.count(), 0));
+}
+
+} // namespace
+
+std::string_view CallMessage::path() const {
+  return std::string_view(Target).substr(0, Target.find('?'));
+}
+
+CallResult failedCall(Outcome outcome, ErrorCode code, std::uint16_t status,
+                      Duration retryAfter) {
+  CallResult result;
+  result.Result = outcome;
+  result.Code = code;
+  result.Status = status;
+  result.RetryAfter = retryAfter;
+  return result;
+}
+
+wire::CallRequestT toWire(const CallMessage &call, TimePoint now) {
+  wire::CallRequestT to;
+  to.service = call.Service;
+  to.method = call.Method;
+  to.path = call.Target;
+  to.headers = toWire(call.Headers);
+  to.body.assign(call.Body.begin(), call.Body.end());
+  to.key = call.Key;
+  to.time_left_ms = toMs(call.Deadline - now);
+  to.depth = call.Depth;
+  to.retry_budget = call.RetryBudget;
+  to.worth = call.Worth;
+  to.repeatable = call.Repeatable;
+  to.to_claim_holder = call.ToClaimHolder;
+  return to;
+}
+
+CallMessage fromWire(wire::CallRequestT &request, TimePoint now) {
+  CallMessage call;
+  call.Service = std::move(request.service);
+  call.Method = std::move(request.method);
+  call.Target = std::move(request.path);
+  call.Headers = fromWire(request.headers);
+  call.Body.assign(request.body.begin(), request.body.end());
+  call.Key = std::move(request.key);
+  call.Deadline = now + std::chrono::milliseconds(request.time_left_ms);
+  call.Depth = request.depth;
+  call.RetryBudget = request.retry_budget;
+  call.Worth = request.worth;
+  call.Repeatable = request.repeatable;
+  call.ToClaimHolder = request.to_claim_holder;
+  return call;
+}
+
+wire::CallAnswerT toWire(const CallResult &result) {
+  wire::CallAnswerT to;
+  to.outcome = static_cast<std::uint8_t>(result.Result);
+  to.error = errorName(result.Code);
+  to.status = result.Status;
+  to.headers = toWire(result.Headers);
+  to.body.assign(result.Body.begin(), result.Body.end());
+  to.retry_after_ms = toMs(result.RetryAfter);
+  to.gate = std::make_unique<wire::GateStateT>();
+  to.gate->limit = result.Gate.Limit;
+  to.gate->in_flight = result.Gate.InFlight;
+  to.gate->queued = result.Gate.Queued;
+  to.gate->cold = result.Gate.Cold;
+  to.gate->leaving = result.Gate.Leaving;
+  return to;
+}
+
+std::optional<CallResult> fromWire(wire::CallAnswerT &answer) {
+  if (answer.outcome > static_cast<std::uint8_t>(Outcome::Unknown)) {
+    return std::nullopt;
+  }
+  CallResult result;
+  result.Result = static_cast<Outcome>(answer.outcome);
+  result.Code = errorFromName(answer.error).value_or(ErrorCode::OutcomeUnknown);
+  result.Status = answer.status;
+  result.Headers = fromWire(answer.headers);
+  result.Body.assign(answer.body.begin(), answer.body.end());
+  result.RetryAfter = std::chrono::milliseconds(answer.retry_after_ms);
+  if (answer.gate) {
+    result.Gate = {answer.gate->limit, answer.gate->in_flight,
+                   answer.gate->queued, answer.gate->cold,
+                   answer.gate->leaving};
+  }
+  return result;
+}
+
+HttpHeaders endToEndHeaders(const HttpHeaders &headers) {
+  HttpHeaders kept;
+  for (const auto &it : headers) {
+    const auto hop = std::any_of(
+        HopHeaders.begin(), HopHeaders.end(),
+        [&it](std::string_view h) { return equalsIgnoringCase(h, it.Name); });
+    if (!hop) {
+      kept.push_back(it);
+    }
+  }
+  return kept;
+}
+
+std::optional<std::uint32_t> parseNumber(std::string_view text) {
+  std::uint32_t n = 0;
+  const auto *end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, n);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return n;
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/src/daemon/wire_convert.cpp
@@ -0,0 +1,107 @@
+#include "chivefold/daemon/wire_convert.h"
+
+namespace chivefold {
+
+std::unique_ptr<wire::PeerAddressT> toWire(const Address &address) {
+  auto to = std::make_unique<wire::PeerAddressT>();
+  to->ip = address.Ip;
+  to->port = address.Port;
+  return to;
+}
+
+std::optional<Address> fromWire(const wire::PeerAddressT *address) {
+  if (address == nullptr || address->port == 0) {
+    return std::nullopt;
+  }
+  // Parsing checks that the text is an IP number.
+  return parseAddress(toString(Address{address->ip, address->port}));
+}
+
+std::unique_ptr<wire::MemberT> toWire(const Member &member) {
+  auto to = std::make_unique<wire::MemberT>();
+  to->address = toWire(member.Peer);
+  to->data_centre = member.DataCentre;
+  to->region = member.Region;
+  to->service = member.Service;
+  to->service_version = member.ServiceVersion;
+  to->state = static_cast<std::uint8_t>(member.State);
+  to->incarnation = member.Incarnation;
+  to->boot_id = member.BootId;
+  to->floor = raw(member.Floor);
+  to->caller_port = member.CallerPort;
+  return to;
+}
+
+std::optional<Member> fromWire(const wire::MemberT *member) {
+  if (member == nullptr ||
+      member->state > static_cast<std::uint8_t>(MemberState::Left)) {
+    return std::nullopt;
+  }
+  const auto address = fromWire(member->address.get());
+  if (!address) {
+    return std::nullopt;
+  }
+  Member m;
+  m.Peer = *address;
+  m.DataCentre = member->data_centre;
+  m.Region = member->region;
+  m.Service = member->service;
+  m.ServiceVersion = member->service_version;
+  m.State = static_cast<MemberState>(member->state);
+  m.Incarnation = member->incarnation;
+  m.BootId = member->boot_id;
+  m.Floor = LogOffset{member->floor};
+  m.CallerPort = member->caller_port;
+  return m;
+}
+
+std::vector<std::unique_ptr<wire::MemberT>>
+toWire(const std::vector<Member> &members) {
+  std::vector<std::unique_ptr<wire::MemberT>> to;
+  to.reserve(members.size());
+  for (const auto &it : members) {
+    to.push_back(toWire(it));
+  }
+  return to;
+}
+
+std::vector<Member>
+fromWire(const std::vector<std::unique_ptr<wire::MemberT>> &members) {
+  std::vector<Member> to;
+  to.reserve(members.size());
+  for (const auto &it : members) {
+    if (auto m = fromWire(it.get())) {
+      to.push_back(std::move(*m));
+    }
+  }
+  return to;
+}
+
+std::unique_ptr<wire::SafeStepT> stepToWire(const SafeStep &step) {
+  auto to = std::make_unique<wire::SafeStepT>();
+  to->kind = static_cast<std::uint8_t>(step.Kind);
+  to->subject = step.Subject;
+  to->move = raw(step.Move);
+  to->after_offset = raw(step.AfterOffset);
+  to->request_digest = step.RequestDigest;
+  to->count = step.Count;
+  to->reason = step.Reason;
+  return to;
+}
+
+std::optional<SafeStep> stepFromWire(const wire::SafeStepT &step) {
+  if (step.kind > static_cast<std::uint8_t>(SafeStepKind::Quarantine)) {
+    return std::nullopt;
+  }
+  SafeStep s;
+  s.Kind = static_cast<SafeStepKind>(step.kind);
+  s.Subject = step.subject;
+  s.Move = Version{step.move};
+  s.AfterOffset = LogOffset{step.after_offset};
+  s.RequestDigest = step.request_digest;
+  s.Count = step.count;
+  s.Reason = step.reason;
+  return s;
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/tests/e2e/lib.sh
@@ -0,0 +1,113 @@
+# Functions for tests with real processes over loopback. Source it, then call
+# fleet_begin DIR BUILD BASE_PORT. Every process that was started is ended by
+# its id at exit.
+
+declare -A pid_of=()
+daemons=()
+
+fleet_begin() {
+  run_dir=$1
+  build=$2
+  base_port=$3
+  mkdir -p "$run_dir"
+  trap fleet_end EXIT
+  log_address=127.0.0.1:$base_port
+  log_url=http://$log_address
+}
+
+# start NAME COMMAND... runs a process with its output in DIR/NAME.log.
+start() {
+  local name=$1
+  shift
+  "$@" >>"$run_dir/$name.log" 2>&1 &
+  pid_of[$name]=$!
+}
+
+# stop NAME SIGNAL ends one process and waits for it; returns its exit code.
+stop() {
+  local pid=${pid_of[$1]:-} code=0
+  [ -n "$pid" ] || return 0
+  kill "-$2" "$pid" 2>/dev/null || true
+  wait "$pid" 2>/dev/null || code=$?
+  unset "pid_of[$1]"
+  return "$code"
+}
+
+fleet_end() {
+  local name
+  for name in "${!pid_of[@]}"; do
+    kill -CONT "${pid_of[$name]}" 2>/dev/null || true
+    kill -KILL "${pid_of[$name]}" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
+}
+
+# wait_until SECONDS COMMAND... polls until the command succeeds.
+wait_until() {
+  local deadline=$((SECONDS + $1))
+  shift
+  until "$@"; do
+    [ "$SECONDS" -lt "$deadline" ] || return 1
+    sleep 0.05
+  done
+}
+
+start_log() {
+  start log "$build/tests/standins/log_service" --listen "$log_address" "$@"
+  wait_until 10 grep -q listening "$run_dir/log.log"
+}
+
+# Ports of daemon number N: callers, peers, admin, backend server.
+caller_address() { echo "127.0.0.1:$((base_port + 10 * $1 + 1))"; }
+peer_address() { echo "127.0.0.1:$((base_port + 10 * $1 + 2))"; }
+admin_address() { echo "127.0.0.1:$((base_port + 10 * $1 + 3))"; }
+backend_address() { echo "127.0.0.1:$((base_port + 10 * $1 + 4))"; }
+
+# start_daemon N DATA_CENTRE SERVICE VERSION runs only the daemon.
+start_daemon() {
+  start "daemon$1" "$build/tools/chivefoldd" \
+    --caller-listen "$(caller_address "$1")" --peer-listen "$(peer_address "$1")" \
+    --admin-listen "$(admin_address "$1")" --backend-server "$(backend_address "$1")" \
+    --data-centre "$2" --region west --service "$3" --service-version "$4" \
+    --log-url "$log_url" --seeds "$(peer_address 1),$(peer_address 2)" "${daemon_flags[@]}"
+}
+daemon_flags=()
+
+# start_host N DATA_CENTRE SERVICE VERSION BACKEND_FLAGS... runs a backend
+# server and its daemon.
+start_host() {
+  local n=$1 data_centre=$2 service=$3 version=$4
+  shift 4
+  start "backend$n" "$build/tests/standins/backend_server" \
+    --listen "$(backend_address "$n")" --name "host$n" --version-name "$version" "$@"
+  start_daemon "$n" "$data_centre" "$service" "$version"
+  daemons+=("$n")
+}
+
+is_ready() { curl -fsS -o /dev/null "http://$(admin_address "$1")/-/ready" 2>/dev/null; }
+
+all_ready() {
+  local n
+  for n in "${daemons[@]}"; do
+    is_ready "$n" || return 1
+  done
+}
+
+# state_field N NAME prints a number from a daemon's state.
+state_field() {
+  curl -fsS "http://$(admin_address "$1")/-/state" 2>/dev/null | grep -oE "\"$2\": ?[0-9]+" | head -1 | grep -oE '[0-9]+$'
+}
+
+# all_at_version V succeeds once every daemon has version V or a later one in force.
+all_at_version() {
+  local n v
+  for n in "${daemons[@]}"; do
+    v=$(state_field "$n" version) || return 1
+    [ "${v:-0}" -ge "$1" ] || return 1
+  done
+}
+
+fail() {
+  echo "FAILED: $*" >&2
+  exit 1
+}
