--- a/include/chivefold/core/dissemination.h
+++ b/include/chivefold/core/dissemination.h
@@ -65,7 +65,7 @@
 
 /**
  * Replays records from the log and from peers into a control state and decides
- * what goes to whom. Records may come in any order, doubled or late. Each
+ * what goes to whom. Records may come in any order, doubled or late. A pushed
  * record is forwarded once, when it is first applied. Not thread-safe.
  */
 class Dissemination {
@@ -77,8 +77,10 @@
   /**
    * Accepts records.
    * @param from the peer that sent them, none for the log.
-   * @return pushes of the records that were new, and a fetch if there is a gap
-   * or the message ended below what the peer is known to have.
+   * @return pushes of the records that were new, and a fetch if there is a gap.
+   * Answers to a fetch are not pushed on, and neither are records that a
+   * starting daemon reads: others have them, and a daemon that catches up would
+   * send its whole backlog.
    */
   Accepted accept(const std::vector<LogEntry> &records,
                   const std::optional<Address> &from, TimePoint now);
@@ -100,10 +102,10 @@
    * @return Conflict if the snapshot is not newer than the state, since a
    * version never goes backwards; InvalidRecord if it is damaged.
    */
-  Status installSnapshot(std::string_view bytes, TimePoint now);
+  Status installSnapshot(std::string_view bytes);
 
   /** Like installSnapshot() with a decoded state, e.g. from the log. */
-  Status installState(ControlState state, TimePoint now);
+  Status installState(ControlState state);
 
   /** @return the highest offset that is known to exist. */
   LogOffset knownTail() const { return KnownTail; }
@@ -117,15 +119,14 @@
   Readiness readiness();
 
 private:
-  bool applyOne(const LogEntry &entry);
+  bool applyNext(const LogEntry &entry);
   void hold(const LogEntry &entry);
-  std::vector<LogEntry> applyHeld();
+  void applyHeld(std::vector<LogEntry> &applied);
   void remember(const LogEntry &entry);
   std::vector<Push> pushesOf(const std::vector<LogEntry> &records,
                              const std::optional<Address> &from);
   std::optional<Fetch> fetchFrom(const Address &peer, TimePoint now);
-  std::optional<Fetch> fetchIfBehind(const std::optional<Address> &from,
-                                     TimePoint now);
+  std::optional<Fetch> fetchFromAny(TimePoint now);
 
   ControlState &State;
   MemberTable &Members;
@@ -135,8 +136,9 @@
   std::size_t RingBytes = 0;
   std::map<LogOffset, LogEntry> Held;
   LogOffset KnownTail = LogOffset::None;
-  /** A fetch is outstanding until then. */
-  std::optional<TimePoint> FetchDeadline;
+  /** A fetch from this peer is outstanding until FetchDeadline. */
+  std::optional<Address> FetchPeer;
+  TimePoint FetchDeadline{};
 };
 
 } // namespace chivefold
--- a/include/chivefold/core/member_table.h
+++ b/include/chivefold/core/member_table.h
@@ -18,7 +18,8 @@
 
 namespace chivefold {
 
-/** State of a member. At equal incarnation the later constant prevails. */
+/** State of a member. At equal incarnation and BootId the later constant
+ * prevails. */
 enum class MemberState : std::uint8_t {
   Alive,
   /** Finishes its calls and gets no new work. */
@@ -83,9 +84,11 @@
   void updateSelf(std::string serviceVersion, MemberState state);
 
   /**
-   * Merges a gossiped update: a higher incarnation prevails, then the later
-   * state, then the higher BootId. An update about this daemon that suspects
-   * it or has a higher incarnation raises the own incarnation.
+   * Merges a gossiped update: a higher incarnation prevails, then the higher
+   * BootId, then the later state. An update about this daemon that suspects it,
+   * has a higher incarnation or stems from an earlier run raises the own
+   * incarnation, which refutes it. A full table forgets the member that is dead
+   * for longest, or else ignores new members.
    * @return whether the update changed this table; it is then gossiped on.
    */
   bool merge(const Member &update, TimePoint now);
@@ -124,7 +127,9 @@
    * non-const call. Includes this daemon. */
   const Member *find(const Address &address) const;
 
-  /** @return all members including this one, dead ones too, by address. */
+  /** @return all members including this one, by address. Dead ones are included
+   * if they were seen alive here, so that their records end after twice
+   * DeadRetention although joining daemons copy them. */
   std::vector<Member> members() const;
 
   /** @return the number of alive members including this one. */
@@ -157,6 +162,8 @@
     TimePoint Deadline{};
     /** Unreachable by mass suspicion, which was not gossiped. */
     bool Quiet = false;
+    /** Was already dead when this daemon first heard of it. */
+    bool SecondHand = false;
   };
   struct Update {
     std::uint32_t Transmissions = 0;
@@ -166,9 +173,10 @@
 
   bool mergeSelf(const Member &update);
   bool insert(const Member &update, TimePoint now);
+  void adopt(Entry &entry, const Member &update, TimePoint now);
   void setState(Entry &entry, MemberState state, TimePoint now);
   void suspect(Entry &entry, TimePoint now);
-  bool noteSuspicion(const std::string &dataCentre, TimePoint now);
+  bool isMass(const std::string &dataCentre, TimePoint now);
   void markMassUnreachable(const std::string &dataCentre, TimePoint now);
   bool evictDead();
   void enqueue(const Address &address);
@@ -176,6 +184,7 @@
   void reshuffle();
   std::optional<Address> unreachableProbe();
   std::vector<const Member *> aliveOthers() const;
+  std::vector<Address> sample(std::vector<const Member *> from, std::size_t n);
 
   Member Self;
   std::uint64_t SelfWeight;
