Compile configuration texts and encode log records

Cause: operators' texts need a compiler that reports places, and log records need an encoding that survives damaged input. Ruled out: toml11's own location of syntax errors, which is line 1 for a missing value or a bad date, so the place is taken from the marked row of its message.

--- a/include/chivefold/core/configuration_text.h
+++ b/include/chivefold/core/configuration_text.h
@@ -31,8 +31,8 @@
 /**
  * Checks what depends on the time at which a text is applied.
  * @param now the operator's UTC clock.
- * @return InvalidText if a move's deadline is not after @p now. The reason names
- * the service; it has no line, as @p config keeps none. Thread-safe.
+ * @return InvalidText if a move's deadline is not after @p now. The reason
+ * names the service; it has no line, as @p config keeps none. Thread-safe.
  */
 Status checkDeadlines(const Configuration &config, UtcTime now);
 
--- /dev/null
+++ b/src/core/change.cpp
@@ -0,0 +1,75 @@
+#include "chivefold/core/record.h"
+
+namespace chivefold {
+namespace {
+
+/** @return how many sections from @p first fit one part; 0 if none does. */
+std::size_t fittingSections(const std::vector<Section> &sections,
+                            std::size_t first, const std::string &writer) {
+  const auto fits = [&](std::size_t n) {
+    const auto from = sections.begin() + static_cast<std::ptrdiff_t>(first);
+    const Record r{
+        {},
+        writer,
+        ChangePartRecord{
+            {}, MaxChangeParts, {from, from + static_cast<std::ptrdiff_t>(n)}}};
+    return encodeRecord(r).size() <= MaxRecordBytes;
+  };
+  // Doubling, then bisection, so that a part costs few encodings.
+  const auto rest = sections.size() - first;
+  std::size_t good = 0;
+  std::size_t bad = 1;
+  while (bad <= rest && fits(bad)) {
+    good = bad;
+    bad *= 2;
+  }
+  bad = std::min(bad, rest + 1);
+  while (bad - good > 1) {
+    const auto n = good + (bad - good) / 2;
+    (fits(n) ? good : bad) = n;
+  }
+  return good;
+}
+
+} // namespace
+
+std::uint64_t changeDigest(std::uint64_t digest, std::string_view part) {
+  return hash64(part, digest);
+}
+
+Result<std::vector<Record>> makeChange(Version base,
+                                       std::vector<Section> sections,
+                                       const std::function<RecordId()> &newId,
+                                       const std::string &writer) {
+  Record whole{newId(), writer, ChangeRecord{base, sections}};
+  if (encodeRecord(whole).size() <= MaxRecordBytes) {
+    return std::vector<Record>{std::move(whole)};
+  }
+  const auto changeId = whole.Id;
+  std::vector<Record> records;
+  auto digest = InitialChangeDigest;
+  for (std::size_t first = 0; first < sections.size();) {
+    const auto n = fittingSections(sections, first, writer);
+    if (n == 0 || records.size() == MaxChangeParts) {
+      return Reason{ErrorCode::TooLarge,
+                    n == 0 ? "one section does not fit a record"
+                           : "the change needs too many records"};
+    }
+    const auto from = sections.begin() + static_cast<std::ptrdiff_t>(first);
+    const auto index = static_cast<std::uint32_t>(records.size());
+    records.push_back(
+        {newId(), writer,
+         ChangePartRecord{
+             changeId, index, {from, from + static_cast<std::ptrdiff_t>(n)}}});
+    digest = changeDigest(digest, encodeRecord(records.back()));
+    first += n;
+  }
+  const auto count = static_cast<std::uint32_t>(records.size());
+  // The commit has the identity of the change, so a lost answer to the change
+  // is resolved by one id in both cases.
+  records.push_back(
+      {changeId, writer, ChangeCommitRecord{changeId, base, count, digest}});
+  return records;
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/src/core/configuration_text.cpp
@@ -0,0 +1,374 @@
+#include "chivefold/core/configuration_text.h"
+
+#include "text_reader.h"
+#include "text_scan.h"
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+
+namespace chivefold {
+namespace {
+
+/** Bound of limits and worths, far above any real server. */
+constexpr std::uint32_t MaxLimit = 1'000'000;
+constexpr std::size_t MaxMethodBytes = 16;
+
+bool isMethod(std::string_view text) {
+  return !text.empty() && text.size() <= MaxMethodBytes &&
+         std::all_of(text.begin(), text.end(),
+                     [](char c) { return c >= 'A' && c <= 'Z'; });
+}
+
+bool isPath(std::string_view text) {
+  return !text.empty() && text.front() == '/' && text.size() <= MaxPathBytes &&
+         std::all_of(text.begin(), text.end(), [](char c) {
+           return c > ' ' && c < 0x7F && c != '?' && c != '#';
+         });
+}
+
+/** Days from 1970-01-01 to a date of the Gregorian calendar. */
+std::int64_t daysSinceEpoch(std::int64_t year, int month, int day) {
+  year -= month <= 2 ? 1 : 0;
+  const auto era = (year >= 0 ? year : year - 399) / 400;
+  const auto yearOfEra = year - era * 400;
+  const auto dayOfYear =
+      (153 * (month + (month > 2 ? -3 : 9)) + 2) / 5 + day - 1;
+  const auto dayOfEra =
+      yearOfEra * 365 + yearOfEra / 4 - yearOfEra / 100 + dayOfYear;
+  return era * 146097 + dayOfEra - 719468;
+}
+
+UtcTime utcTime(const toml::offset_datetime &t) {
+  const std::chrono::hours days(
+      24 * daysSinceEpoch(t.date.year, t.date.month + 1, t.date.day));
+  const auto time =
+      std::chrono::hours(t.time.hour) + std::chrono::minutes(t.time.minute) +
+      std::chrono::seconds(t.time.second) +
+      std::chrono::milliseconds(t.time.millisecond) -
+      std::chrono::hours(t.offset.hour) - std::chrono::minutes(t.offset.minute);
+  return UtcTime(days + time);
+}
+
+/** Compiles a parsed text: first each section, then the references. */
+class Compiler {
+public:
+  explicit Compiler(const Value &root) : Root(root) {}
+
+  /** @param now if present, move deadlines must be after it. */
+  Result<Configuration> run(const std::optional<UtcTime> &now) {
+    Now = now;
+    const auto &top = In.table(Root, "the text", {"fleet", "service"});
+    if (const auto *fleet = In.required(Root, top, "fleet")) {
+      readFleet(*fleet);
+    }
+    if (top.count("service") != 0) {
+      readServices(top.at("service"));
+    }
+    // References are checked only between sections that are valid, since one
+    // wrong section would cause misleading errors in others.
+    if (!In.failed()) {
+      checkFleet();
+      for (const auto &it : Config.Services) {
+        checkService(it.second, top.at("service").as_table().at(it.first));
+      }
+      checkDepth();
+    }
+    if (In.failed()) {
+      return In.reason();
+    }
+    return Config;
+  }
+
+private:
+  void readFleet(const Value &value) {
+    const auto &t = In.table(value, "fleet", {"data_centres", "taken_out"});
+    constexpr auto most = ConfigurationLimits::MaxDataCentres;
+    if (const auto *list = In.required(value, t, "data_centres")) {
+      Config.FleetSettings.DataCentres = In.names(*list, most);
+      if (Config.FleetSettings.DataCentres.empty()) {
+        In.fail(*list, "expected at least one data centre");
+      }
+    }
+    if (t.count("taken_out") != 0) {
+      Config.FleetSettings.TakenOut = In.names(t.at("taken_out"), most);
+    }
+  }
+
+  void readServices(const Value &value) {
+    const auto &t = In.anyTable(value, "service");
+    if (t.size() > ConfigurationLimits::MaxServices) {
+      In.fail(value, "expected at most " +
+                         std::to_string(ConfigurationLimits::MaxServices) +
+                         " services");
+      return;
+    }
+    for (const auto &it : t) {
+      if (!isName(it.first)) {
+        In.fail(it.second, std::string("expected ") + Reader::NameExpected +
+                               " for the service, got " + quotedText(it.first));
+      }
+      Config.Services[it.first] = readService(it.first, it.second);
+    }
+  }
+
+  Service readService(const std::string &name, const Value &value) {
+    Service s;
+    s.Name = name;
+    const auto &t =
+        In.table(value, "service " + quotedText(name),
+                 {"depends_on", "versions", "current", "slots", "connections",
+                  "queue", "cold_slots", "route", "move"});
+    if (t.count("depends_on") != 0) {
+      s.DependsOn =
+          In.names(t.at("depends_on"), ConfigurationLimits::MaxServices);
+    }
+    if (const auto *list = In.required(value, t, "versions")) {
+      s.Versions = In.names(*list, ConfigurationLimits::MaxVersionsPerService);
+    }
+    if (const auto *current = In.required(value, t, "current")) {
+      s.CurrentVersion = In.name(*current);
+    }
+    In.number(t, "slots", MaxLimit, s.Limits.Slots);
+    In.number(t, "connections", MaxLimit, s.Limits.Connections);
+    In.number(t, "queue", MaxLimit, s.Limits.Queue);
+    In.number(t, "cold_slots", MaxLimit, s.Limits.ColdSlots);
+    if (t.count("route") != 0) {
+      readRoutes(t.at("route"), s);
+    }
+    if (t.count("move") != 0) {
+      s.Move = readMove(t.at("move"));
+    }
+    return s;
+  }
+
+  void readRoutes(const Value &value, Service &service) {
+    if (!value.is_array()) {
+      In.fail(value, "expected [[service.NAME.route]] for each route");
+      return;
+    }
+    const auto &list = value.as_array();
+    constexpr auto most = ConfigurationLimits::MaxRoutesPerService;
+    if (list.size() > most) {
+      In.fail(list[most],
+              "expected at most " + std::to_string(most) + " routes");
+      return;
+    }
+    std::set<std::pair<std::string, std::string>> seen;
+    for (const auto &it : list) {
+      service.Routes.push_back(readRoute(it));
+      const auto &r = service.Routes.back();
+      // A trailing slash makes no difference when routes are matched.
+      const auto path =
+          r.PathPrefix.substr(0, r.PathPrefix.find_last_not_of('/') + 1);
+      if (!seen.emplace(r.Method, path).second) {
+        In.fail(it,
+                "duplicate route " + r.Method + " " + quotedText(r.PathPrefix));
+      }
+    }
+  }
+
+  Route readRoute(const Value &value) {
+    Route r;
+    const auto &t = In.table(
+        value, "a route",
+        {"method", "path", "kind", "repeatable", "worth", "timeout_ms"});
+    if (const auto *method = In.required(value, t, "method")) {
+      r.Method = In.text(*method, isMethod, "an upper-case HTTP method");
+    }
+    if (const auto *path = In.required(value, t, "path")) {
+      r.PathPrefix =
+          In.text(*path, isPath,
+                  "a path that starts with '/', of up to 1024 printable "
+                  "characters without '?' and '#'");
+    }
+    if (const auto *kind = In.required(value, t, "kind")) {
+      r.Kind = In.name(*kind);
+    }
+    if (t.count("repeatable") != 0) {
+      const auto &flag = t.at("repeatable");
+      if (flag.is_boolean()) {
+        r.Repeatable = flag.as_boolean();
+      } else {
+        In.fail(flag, "expected true or false for repeatable");
+      }
+    }
+    In.number(t, "worth", MaxLimit, r.Worth);
+    In.number(t, "timeout_ms", MaxRouteTimeoutMs, r.TimeoutMs);
+    return r;
+  }
+
+  MoveRequest readMove(const Value &value) {
+    MoveRequest m;
+    const auto &t = In.table(value, "move", {"to", "deadline"});
+    if (const auto *to = In.required(value, t, "to")) {
+      m.ToVersion = In.name(*to);
+    }
+    if (const auto *deadline = In.required(value, t, "deadline")) {
+      if (deadline->is_offset_datetime()) {
+        m.Deadline = utcTime(deadline->as_offset_datetime());
+      } else {
+        In.fail(*deadline, "expected a date and time with UTC offset, such as "
+                           "2026-12-04T17:00:00+01:00");
+      }
+    }
+    return m;
+  }
+
+  void checkFleet() {
+    const auto &known = Config.FleetSettings.DataCentres;
+    for (std::size_t n = 0; n < Config.FleetSettings.TakenOut.size(); ++n) {
+      const auto &name = Config.FleetSettings.TakenOut[n];
+      if (std::find(known.begin(), known.end(), name) == known.end()) {
+        In.fail(Root.as_table()
+                    .at("fleet")
+                    .as_table()
+                    .at("taken_out")
+                    .as_array()[n],
+                "expected a data centre of data_centres, got " +
+                    quotedText(name));
+      }
+    }
+  }
+
+  void checkService(const Service &s, const Value &value) {
+    const auto &t = value.as_table();
+    for (std::size_t n = 0; n < s.DependsOn.size(); ++n) {
+      if (Config.service(s.DependsOn[n]) == nullptr) {
+        In.fail(t.at("depends_on").as_array()[n],
+                "expected a service of this text, got " +
+                    quotedText(s.DependsOn[n]));
+      }
+    }
+    checkVersion(s, s.CurrentVersion, t.at("current"));
+    if (s.Limits.ColdSlots > s.Limits.Slots) {
+      In.fail(t.at(t.count("cold_slots") != 0 ? "cold_slots" : "slots"),
+              "expected cold_slots of at most slots");
+    }
+    if (s.Move) {
+      const auto &to = t.at("move").as_table().at("to");
+      checkVersion(s, s.Move->ToVersion, to);
+      if (s.Move->ToVersion == s.CurrentVersion) {
+        In.fail(to, "expected another version than the current one");
+      }
+      if (Now && s.Move->Deadline <= *Now) {
+        In.fail(t.at("move").as_table().at("deadline"),
+                "expected a deadline in the future, it is " + toString(*Now));
+      }
+    }
+  }
+
+  void checkVersion(const Service &s, const std::string &version,
+                    const Value &at) {
+    if (std::find(s.Versions.begin(), s.Versions.end(), version) ==
+        s.Versions.end()) {
+      In.fail(at, "expected one of the service's versions, got " +
+                      quotedText(version));
+    }
+  }
+
+  void checkDepth() {
+    std::map<std::string, int> depths;
+    for (const auto &it : Config.Services) {
+      if (In.failed()) {
+        return;
+      }
+      depth(it.second, depths);
+    }
+  }
+
+  /** @return services in the longest chain that starts at @p s. Recursion is
+   * bounded by MaxServices, since a cycle ends it. */
+  int depth(const Service &s, std::map<std::string, int> &depths) {
+    const auto known = depths.find(s.Name);
+    if (known != depths.end()) {
+      return known->second;
+    }
+    int longest = 1;
+    for (std::size_t n = 0; n < s.DependsOn.size() && !In.failed(); ++n) {
+      Chain.push_back(s.Name);
+      const auto &next = s.DependsOn[n];
+      const auto &at = dependency(s, n);
+      if (std::find(Chain.begin(), Chain.end(), next) != Chain.end()) {
+        In.fail(at, "expected no dependency cycle, but " + quotedText(next) +
+                        " depends on " + quotedText(s.Name));
+      } else {
+        longest =
+            std::max(longest, 1 + depth(Config.Services.at(next), depths));
+        if (longest > ConfigurationLimits::MaxDepth) {
+          In.fail(at, "expected dependency chains of at most " +
+                          std::to_string(ConfigurationLimits::MaxDepth) +
+                          " services");
+        }
+      }
+      Chain.pop_back();
+    }
+    depths[s.Name] = longest;
+    return longest;
+  }
+
+  const Value &dependency(const Service &s, std::size_t n) const {
+    return Root.as_table()
+        .at("service")
+        .as_table()
+        .at(s.Name)
+        .as_table()
+        .at("depends_on")
+        .as_array()[n];
+  }
+
+  const Value &Root;
+  Reader In;
+  Configuration Config;
+  std::optional<UtcTime> Now;
+  /** Services from the start of the dependency chain to the one visited. */
+  std::vector<std::string> Chain;
+};
+
+Result<Configuration> compile(std::string_view text,
+                              const std::optional<UtcTime> &now) {
+  if (text.size() > ConfigurationLimits::MaxTextBytes) {
+    return Reason{ErrorCode::TooLarge,
+                  "expected a text of at most " +
+                      std::to_string(ConfigurationLimits::MaxTextBytes) +
+                      " bytes",
+                  1, 1};
+  }
+  const auto scanned = scanText(text);
+  if (!scanned) {
+    return scanned.reason();
+  }
+  try {
+    std::istringstream in{std::string(text)};
+    const auto root =
+        toml::parse<toml::discard_comments, std::map, std::vector>(in, "text");
+    return Compiler(root).run(now);
+  } catch (const std::exception &e) {
+    return syntaxReason(text, e.what());
+  }
+}
+
+} // namespace
+
+Result<Configuration> compileConfiguration(std::string_view text) {
+  return compile(text, std::nullopt);
+}
+
+Result<Configuration> compileConfiguration(std::string_view text, UtcTime now) {
+  return compile(text, now);
+}
+
+Status checkDeadlines(const Configuration &config, UtcTime now) {
+  for (const auto &it : config.Services) {
+    const auto &move = it.second.Move;
+    if (move && move->Deadline <= now) {
+      return Reason{ErrorCode::InvalidText,
+                    "service " + it.first + ": the move's deadline " +
+                        toString(move->Deadline) +
+                        " is not in the future, it is " + toString(now)};
+    }
+  }
+  return Done{};
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/src/core/record_wire.cpp
@@ -0,0 +1,107 @@
+#include "record_wire.h"
+
+namespace chivefold {
+
+std::unique_ptr<wire::FleetT> toWire(const Fleet &fleet) {
+  auto w = std::make_unique<wire::FleetT>();
+  w->data_centres = fleet.DataCentres;
+  w->taken_out = fleet.TakenOut;
+  return w;
+}
+
+std::unique_ptr<wire::ServiceT> toWire(const Service &service) {
+  auto w = std::make_unique<wire::ServiceT>();
+  w->name = service.Name;
+  w->depends_on = service.DependsOn;
+  w->versions = service.Versions;
+  w->current_version = service.CurrentVersion;
+  w->limits = std::make_unique<wire::ServerLimitsT>();
+  w->limits->slots = service.Limits.Slots;
+  w->limits->connections = service.Limits.Connections;
+  w->limits->queue = service.Limits.Queue;
+  w->limits->cold_slots = service.Limits.ColdSlots;
+  for (const auto &it : service.Routes) {
+    auto r = std::make_unique<wire::RouteT>();
+    r->method = it.Method;
+    r->path_prefix = it.PathPrefix;
+    r->kind = it.Kind;
+    r->repeatable = it.Repeatable;
+    r->worth = it.Worth;
+    r->timeout_ms = it.TimeoutMs;
+    w->routes.push_back(std::move(r));
+  }
+  if (service.Move) {
+    w->move = std::make_unique<wire::MoveRequestT>();
+    w->move->to_version = service.Move->ToVersion;
+    w->move->deadline_utc_ms =
+        service.Move->Deadline.time_since_epoch().count();
+  }
+  return w;
+}
+
+std::unique_ptr<wire::AddressT> toWire(const Address &address) {
+  auto w = std::make_unique<wire::AddressT>();
+  w->ip = address.Ip;
+  w->port = address.Port;
+  return w;
+}
+
+std::unique_ptr<wire::DaemonIdT> toWire(const DaemonId &id) {
+  auto w = std::make_unique<wire::DaemonIdT>();
+  w->peer = toWire(id.Peer);
+  w->boot_id = id.BootId;
+  return w;
+}
+
+Result<Fleet> fromWire(const wire::FleetT &fleet) {
+  return Fleet{fleet.data_centres, fleet.taken_out};
+}
+
+Result<Service> fromWire(const wire::ServiceT &service) {
+  if (service.name.empty()) {
+    return invalidRecord("service without name");
+  }
+  if (!service.limits) {
+    return invalidRecord("service without limits");
+  }
+  Service s;
+  s.Name = service.name;
+  s.DependsOn = service.depends_on;
+  s.Versions = service.versions;
+  s.CurrentVersion = service.current_version;
+  s.Limits = {service.limits->slots, service.limits->connections,
+              service.limits->queue, service.limits->cold_slots};
+  for (const auto &it : service.routes) {
+    if (!it) {
+      return invalidRecord("route without content");
+    }
+    s.Routes.push_back({it->method, it->path_prefix, it->kind, it->repeatable,
+                        it->worth, it->timeout_ms});
+  }
+  if (service.move) {
+    s.Move = MoveRequest{
+        service.move->to_version,
+        UtcTime(std::chrono::milliseconds(service.move->deadline_utc_ms))};
+  }
+  return s;
+}
+
+Result<Address> fromWire(const wire::AddressT *address) {
+  if (address == nullptr || address->ip.empty()) {
+    return invalidRecord("record without address");
+  }
+  return Address{address->ip, address->port};
+}
+
+Result<DaemonId> fromWire(const wire::DaemonIdT *id) {
+  if (id == nullptr) {
+    return invalidRecord("record without daemon");
+  }
+  const auto peer = fromWire(id->peer.get());
+  if (!peer) {
+    return peer.reason();
+  }
+  return DaemonId{*peer, id->boot_id};
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/src/core/record_wire.h
@@ -0,0 +1,35 @@
+/**
+ * @file
+ * Conversion between configuration types and their FlatBuffers object types.
+ */
+#ifndef CHIVEFOLD_SRC_CORE_RECORD_WIRE_H
+#define CHIVEFOLD_SRC_CORE_RECORD_WIRE_H
+
+#include "chivefold/core/record.h"
+
+#include "record_generated.h"
+
+#include <memory>
+
+namespace chivefold {
+
+/** Conversions to wire types never fail. Thread-safe, as all of these. */
+std::unique_ptr<wire::FleetT> toWire(const Fleet &fleet);
+std::unique_ptr<wire::ServiceT> toWire(const Service &service);
+std::unique_ptr<wire::DaemonIdT> toWire(const DaemonId &id);
+std::unique_ptr<wire::AddressT> toWire(const Address &address);
+
+/** Conversions from wire types refuse absent parts with InvalidRecord. */
+Result<Fleet> fromWire(const wire::FleetT &fleet);
+Result<Service> fromWire(const wire::ServiceT &service);
+Result<DaemonId> fromWire(const wire::DaemonIdT *id);
+Result<Address> fromWire(const wire::AddressT *address);
+
+/** @return InvalidRecord with @p message. */
+inline Reason invalidRecord(std::string message) {
+  return {ErrorCode::InvalidRecord, std::move(message)};
+}
+
+} // namespace chivefold
+
+#endif
--- /dev/null
+++ b/src/core/text_reader.h
@@ -0,0 +1,157 @@
+/**
+ * @file
+ * Typed access to parsed TOML, with places of errors.
+ */
+#ifndef CHIVEFOLD_SRC_CORE_TEXT_READER_H
+#define CHIVEFOLD_SRC_CORE_TEXT_READER_H
+
+#include "chivefold/core/configuration.h"
+#include "chivefold/core/error.h"
+#include "text_scan.h"
+
+#include <algorithm>
+#include <initializer_list>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <toml.hpp>
+#include <vector>
+
+namespace chivefold {
+
+/** Ordered tables give the same first error on every run. */
+using Value = toml::basic_value<toml::discard_comments, std::map, std::vector>;
+
+inline Reason reasonAt(const Value &at, std::string message) {
+  const auto place = at.location();
+  return {ErrorCode::InvalidText, std::move(message),
+          static_cast<int>(place.line()), static_cast<int>(place.column())};
+}
+
+/** @return whether @p text is a name of up to MaxNameBytes. */
+inline bool isName(std::string_view text) {
+  return !text.empty() && text.size() <= ConfigurationLimits::MaxNameBytes &&
+         std::all_of(text.begin(), text.end(), [](char c) {
+           return (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') ||
+                  (c >= '0' && c <= '9') || c == '.' || c == '_' || c == '-';
+         });
+}
+
+/**
+ * Reads typed values and keeps the first error. Readers go on after an error
+ * with a default, so that callers need no check after each value.
+ */
+class Reader {
+public:
+  bool failed() const { return First.has_value(); }
+  const Reason &reason() const { return *First; }
+
+  void fail(const Value &at, std::string message) {
+    if (!First) {
+      First = reasonAt(at, std::move(message));
+    }
+  }
+
+  /** @return the table, or an empty one. Refuses other keys than @p keys. */
+  const Value::table_type &table(const Value &value, const std::string &what,
+                                 std::initializer_list<std::string_view> keys) {
+    const auto &t = anyTable(value, what);
+    for (const auto &it : t) {
+      if (std::find(keys.begin(), keys.end(), it.first) == keys.end()) {
+        std::string expected;
+        for (const auto &key : keys) {
+          expected += (expected.empty() ? "" : ", ") + std::string(key);
+        }
+        fail(it.second, "unknown key " + quotedText(it.first) + " in " + what +
+                            ", expected one of: " + expected);
+      }
+    }
+    return t;
+  }
+
+  const Value::table_type &anyTable(const Value &value,
+                                    const std::string &what) {
+    static const Value::table_type none;
+    if (!value.is_table()) {
+      fail(value, "expected a table for " + what);
+      return none;
+    }
+    return value.as_table();
+  }
+
+  /** @return the value of a key that must exist, or nullptr. */
+  const Value *required(const Value &in, const Value::table_type &t,
+                        const char *key) {
+    const auto it = t.find(key);
+    if (it == t.end()) {
+      fail(in, std::string("expected a key '") + key + "' in this table");
+      return nullptr;
+    }
+    return &it->second;
+  }
+
+  std::string text(const Value &value, bool (*good)(std::string_view),
+                   const char *expected) {
+    if (!value.is_string()) {
+      fail(value, std::string("expected a string: ") + expected);
+      return {};
+    }
+    const auto &s = value.as_string().str;
+    if (!good(s)) {
+      fail(value,
+           std::string("expected ") + expected + ", got " + quotedText(s));
+    }
+    return s;
+  }
+
+  std::string name(const Value &value) {
+    return text(value, isName, NameExpected);
+  }
+
+  std::vector<std::string> names(const Value &value, std::size_t most) {
+    std::vector<std::string> all;
+    if (!value.is_array()) {
+      fail(value, "expected an array of names");
+      return all;
+    }
+    const auto &list = value.as_array();
+    if (list.size() > most) {
+      fail(list[most], "expected at most " + std::to_string(most) + " names");
+      return all;
+    }
+    for (const auto &it : list) {
+      all.push_back(name(it));
+      if (std::find(all.begin(), all.end() - 1, all.back()) != all.end() - 1) {
+        fail(it, "duplicate name " + quotedText(all.back()));
+      }
+    }
+    return all;
+  }
+
+  void number(const Value::table_type &t, const char *key, std::uint32_t most,
+              std::uint32_t &to) {
+    const auto it = t.find(key);
+    if (it == t.end()) {
+      return;
+    }
+    const auto &value = it->second;
+    if (!value.is_integer() || value.as_integer() < 1 ||
+        value.as_integer() > most) {
+      fail(value, std::string("expected a whole number from 1 to ") +
+                      std::to_string(most) + " for " + key);
+      return;
+    }
+    to = static_cast<std::uint32_t>(value.as_integer());
+  }
+
+  static constexpr const char *NameExpected =
+      "a name of 1 to 64 letters, digits, '.', '_' or '-'";
+
+private:
+  std::optional<Reason> First;
+};
+
+} // namespace chivefold
+
+#endif
--- /dev/null
+++ b/src/core/text_scan.cpp
@@ -0,0 +1,222 @@
+#include "text_scan.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace chivefold {
+namespace {
+
+/** The format needs 2 levels; every level costs the parser stack. */
+constexpr int MaxNesting = 8;
+/** The format needs 3 parts per key; every part costs the parser stack. */
+constexpr int MaxDotsPerLine = 64;
+constexpr std::size_t MaxQuotedBytes = 80;
+
+/** @return length of the UTF-8 sequence at the start of @p text, 0 if it is
+ * invalid (overlong, surrogate, out of range or cut off). */
+std::size_t utf8Length(std::string_view text) {
+  const auto at = [&](std::size_t n) {
+    return n < text.size() ? static_cast<unsigned char>(text[n]) : 0U;
+  };
+  const auto tail = [&](std::size_t n) { return (at(n) & 0xC0U) == 0x80U; };
+  const auto lead = at(0);
+  if (lead < 0x80U) {
+    return 1;
+  }
+  if (lead >= 0xC2U && lead <= 0xDFU && tail(1)) {
+    return 2;
+  }
+  if (lead >= 0xE0U && lead <= 0xEFU && tail(1) && tail(2)) {
+    const bool overlong = lead == 0xE0U && at(1) < 0xA0U;
+    const bool surrogate = lead == 0xEDU && at(1) >= 0xA0U;
+    return overlong || surrogate ? 0 : 3;
+  }
+  if (lead >= 0xF0U && lead <= 0xF4U && tail(1) && tail(2) && tail(3)) {
+    const bool overlong = lead == 0xF0U && at(1) < 0x90U;
+    const bool beyond = lead == 0xF4U && at(1) >= 0x90U;
+    return overlong || beyond ? 0 : 4;
+  }
+  return 0;
+}
+
+Status scanBytes(std::string_view text) {
+  for (std::size_t pos = 0; pos < text.size();) {
+    const auto n = utf8Length(text.substr(pos));
+    if (n == 0) {
+      return reasonAt(text, pos, "expected UTF-8");
+    }
+    const auto c = static_cast<unsigned char>(text[pos]);
+    const bool crlf = c == '\r' && text.substr(pos, 2) == "\r\n";
+    if ((c < 0x20 && c != '\n' && c != '\t' && !crlf) || c == 0x7F) {
+      return reasonAt(text, pos, "expected no control characters");
+    }
+    pos += n;
+  }
+  return Done{};
+}
+
+/** Follows strings and comments, which end at the latest with their line, so
+ * that only brackets and dots of the syntax are counted. */
+class NestingScan {
+public:
+  explicit NestingScan(std::string_view text) : Text(text) {}
+
+  Status run() {
+    for (std::size_t pos = 0; pos < Text.size(); ++pos) {
+      const char c = Text[pos];
+      if (c == '\n') {
+        Mode = '\0';
+        Dots = 0;
+      } else if (Mode == '\0') {
+        const auto *problem = syntax(pos);
+        if (problem != nullptr) {
+          return reasonAt(Text, pos, problem);
+        }
+      } else if (Mode == '"' && c == '\\' && Text.substr(pos + 1, 1) != "\n") {
+        ++pos;
+      } else if (Mode != '#' && c == Mode) {
+        Mode = '\0';
+      }
+    }
+    return Done{};
+  }
+
+private:
+  const char *syntax(std::size_t pos) {
+    const char c = Text[pos];
+    if (c == '"' || c == '\'') {
+      const auto next = Text.substr(pos, 3);
+      if (next == R"(""")" || next == "'''") {
+        return "expected a string on a single line";
+      }
+    }
+    if (c == '"' || c == '\'' || c == '#') {
+      Mode = c;
+    } else if (c == '[' || c == '{') {
+      ++Depth;
+    } else if (c == ']' || c == '}') {
+      Depth = std::max(0, Depth - 1);
+    } else if (c == '.') {
+      ++Dots;
+    }
+    if (Depth > MaxNesting) {
+      return "expected at most 8 levels of brackets";
+    }
+    return Dots > MaxDotsPerLine ? "expected at most 64 dots in a line"
+                                 : nullptr;
+  }
+
+  std::string_view Text;
+  /** The quote or '#' of the string or comment at this place, or 0. */
+  char Mode = '\0';
+  int Depth = 0;
+  int Dots = 0;
+};
+
+std::string_view firstLine(std::string_view text) {
+  return text.substr(0, text.find('\n'));
+}
+
+/** The last marked place in a toml11 message, whose rows are " N | source"
+ * followed by "   | ^--- comment". */
+struct Mark {
+  int Line = 1;
+  std::size_t Column = 0;
+  std::string_view Source;
+  std::string_view Comment;
+};
+
+Mark lastMark(std::string_view what) {
+  Mark mark;
+  std::string_view previous;
+  while (!what.empty()) {
+    const auto row = firstLine(what);
+    what.remove_prefix(std::min(what.size(), row.size() + 1));
+    const auto bar = row.find(" | ");
+    const auto sign = bar == std::string_view::npos
+                          ? std::string_view::npos
+                          : row.find_first_not_of(' ', bar + 3);
+    const auto isMark = sign != std::string_view::npos &&
+                        row.find_first_not_of(' ') == bar + 1 &&
+                        (row[sign] == '^' || row[sign] == '~');
+    const auto digit = previous.find_first_not_of(' ');
+    if (isMark && digit != std::string_view::npos &&
+        std::from_chars(previous.data() + digit,
+                        previous.data() + previous.size(), mark.Line)
+                .ec == std::errc()) {
+      mark.Column = sign - bar - 3;
+      mark.Source = previous.substr(std::min(previous.size(), bar + 3));
+      const auto comment = row.find_first_not_of("^~- ", sign);
+      mark.Comment = comment == std::string_view::npos ? std::string_view()
+                                                       : row.substr(comment);
+    }
+    previous = row;
+  }
+  return mark;
+}
+
+std::size_t lineStart(std::string_view text, int line) {
+  std::size_t pos = 0;
+  for (; line > 1; --line) {
+    const auto end = text.find('\n', pos);
+    if (end == std::string_view::npos) {
+      return pos;
+    }
+    pos = end + 1;
+  }
+  return pos;
+}
+
+} // namespace
+
+Reason reasonAt(std::string_view text, std::size_t pos, std::string message) {
+  const auto before = text.substr(0, pos);
+  const auto lines = std::count(before.begin(), before.end(), '\n');
+  const auto start = before.rfind('\n');
+  const auto column =
+      start == std::string_view::npos ? pos + 1 : before.size() - start;
+  return {ErrorCode::InvalidText, std::move(message),
+          static_cast<int>(lines) + 1, static_cast<int>(column)};
+}
+
+std::string quotedText(std::string_view text) {
+  std::string s = "'";
+  for (const char c : text.substr(0, MaxQuotedBytes)) {
+    s += static_cast<unsigned char>(c) < 0x20 || c == 0x7F ? '?' : c;
+  }
+  s += text.size() > MaxQuotedBytes ? "...'" : "'";
+  return s;
+}
+
+Status scanText(std::string_view text) {
+  auto status = scanBytes(text);
+  return status ? NestingScan(text).run() : status;
+}
+
+Reason syntaxReason(std::string_view text, std::string_view what) {
+  constexpr std::string_view prefix = "[error] ";
+  auto cause = firstLine(what);
+  if (cause.substr(0, prefix.size()) == prefix) {
+    cause.remove_prefix(prefix.size());
+  }
+  if (cause.substr(0, 6) == "toml::") {
+    const auto end = cause.find(": ");
+    cause.remove_prefix(end == std::string_view::npos ? 6 : end + 2);
+  }
+  std::string message(cause);
+  const auto mark = lastMark(what);
+  if (!mark.Comment.empty()) {
+    message += " (" + std::string(mark.Comment) + ")";
+  }
+  // toml11 counts lines of a bad date from the date itself, so its source row
+  // is looked up if it is not the start of the stated line.
+  auto start = lineStart(text, mark.Line);
+  if (text.substr(start, mark.Source.size()) != mark.Source) {
+    const auto found = text.find(mark.Source);
+    start = found == std::string_view::npos ? start : found;
+  }
+  return reasonAt(text, std::min(text.size(), start + mark.Column),
+                  std::move(message));
+}
+
+} // namespace chivefold
