Implement the move controller, its sequential test and the metrics

Cause: declared interfaces had no behaviour. Ruled out: a test over all counts since the start, since a good past hides a late fault; each log likelihood ratio is held at its lower bound instead.

--- a/include/chivefold/core/metrics.h
+++ b/include/chivefold/core/metrics.h
@@ -78,7 +78,7 @@
 };
 
 /**
- * Collects samples with bounded memory: about 2 KiB a series and at most
+ * Collects samples with bounded memory: about 4 KiB a series and at most
  * MaxSeries series; samples of further services or kinds are counted in the
  * series "other" of service "other". Not thread-safe.
  */
--- a/include/chivefold/core/move_controller.h
+++ b/include/chivefold/core/move_controller.h
@@ -36,6 +36,10 @@
   double WatchPart = 0.2;
   /** The watch lasts no longer than this. */
   Duration MaxWatch = std::chrono::minutes(30);
+  /** Parts of the move's time that a share, or the watch, lasts at least, even
+   * if the deadline is then missed. */
+  double MinDwellPart = 0.02;
+  double MinWatchPart = 0.05;
   /** Part of the time left that is kept free before the deadline, between
    * MinReserve and MaxReserve, for the append of "done" to reach all. */
   double ReservePart = 0.05;
@@ -148,26 +152,27 @@
 
   void observe(TimePoint now, UtcTime utcNow, const MoveView &view);
   void planStep(TimePoint now, UtcTime utcNow, const MoveView &view);
-  bool allowed(Kind kind, TimePoint now);
-  void takeBack(TimePoint now, const MoveView &view, const std::string &reason,
-                const std::string &evidence, std::vector<MoveAction> &actions);
-  void recordTakeBack(TimePoint now, const MoveView &view,
-                      std::vector<MoveAction> &actions);
+  std::string reasonToTakeBack(TimePoint now, UtcTime utcNow,
+                               const MoveView &view);
+  void takeBack(TimePoint now, const MoveView &view,
+                std::vector<MoveAction> &actions);
   void seekLease(TimePoint now, const MoveView &view,
                  std::vector<MoveAction> &actions);
   void drive(TimePoint now, const MoveView &view,
              std::vector<MoveAction> &actions);
-  bool mayRaise(TimePoint now, const MoveView &view);
-  bool stepIsDue(TimePoint now, const Assessment &assessment);
-  std::optional<std::uint32_t> nextShare(std::uint32_t share) const;
+  std::string reasonToHold(TimePoint now, const MoveView &view) const;
+  bool allowed(Kind kind, TimePoint now);
   std::size_t stepsAfter(std::uint32_t share) const;
+  bool isFresh(TimePoint now, const std::optional<TimePoint> &time) const;
 
   MoveSettings Settings;
   SequentialTest Test;
   std::optional<TimePoint> FirstTick;
-  std::optional<TimePoint> LastTick;
+  /** Since when the view of the log has been up to date without a break. */
+  std::optional<TimePoint> LogFreshSince;
   std::optional<TimePoint> NoServerSince;
-  /** Total time of the move as of the first tick. */
+  std::optional<TimePoint> TakenBackSince;
+  /** Time that the move had at the first tick. */
   Duration TotalTime{};
   std::uint32_t SeenShare = 0;
   Epoch SeenEpoch = Epoch::None;
--- /dev/null
+++ b/src/core/metrics.cpp
@@ -0,0 +1,250 @@
+#include "chivefold/core/metrics.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace chivefold {
+
+namespace {
+
+namespace acc = boost::accumulators;
+
+using Latency = acc::accumulator_set<
+    double, acc::stats<acc::tag::count, acc::tag::mean, acc::tag::max,
+                       acc::tag::extended_p_square>>;
+
+/** The quantile estimator needs 2n + 3 samples for n quantiles. */
+constexpr std::size_t MinQuantileSamples =
+    2 * MetricsSettings::Quantiles.size() + 3;
+
+/** Counts over the last N buckets of equal length; older ones are dropped. */
+template <std::size_t N> class BucketRing {
+public:
+  explicit BucketRing(Duration window) : BucketLength(window / N) {}
+
+  void add(TimePoint now, bool good) {
+    auto &bucket = Buckets[indexOf(now) % N];
+    if (bucket.Index != indexOf(now)) {
+      bucket = {indexOf(now), {}};
+    }
+    ++bucket.Counts.Calls;
+    bucket.Counts.Bad += good ? 0 : 1;
+  }
+
+  WindowCounts sum(TimePoint now) const {
+    WindowCounts out;
+    for (const auto &it : Buckets) {
+      if (it.Index >= 0 &&
+          it.Index + static_cast<std::int64_t>(N) > indexOf(now)) {
+        out.Calls += it.Counts.Calls;
+        out.Bad += it.Counts.Bad;
+      }
+    }
+    return out;
+  }
+
+private:
+  struct Bucket {
+    std::int64_t Index = -1;
+    WindowCounts Counts;
+  };
+  std::int64_t indexOf(TimePoint now) const {
+    return now.time_since_epoch() / BucketLength;
+  }
+  Duration BucketLength;
+  std::array<Bucket, N> Buckets{};
+};
+
+double burnRate(const WindowCounts &counts, double objective) {
+  return counts.Calls == 0
+             ? 0
+             : static_cast<double>(counts.Bad) /
+                   static_cast<double>(counts.Calls) / (1 - objective);
+}
+
+std::string escaped(const std::string &text) {
+  std::string out;
+  for (const char c : text) {
+    if (c == '\\' || c == '"') {
+      out += '\\';
+    }
+    out += c == '\n' ? ' ' : c;
+  }
+  return out;
+}
+
+/** One metric of the Prometheus text with its value for a series. */
+struct Exported {
+  const char *Name;
+  const char *Type;
+  const char *Label;
+  double (*Value)(const SeriesReport &);
+};
+
+const std::array<Exported, 16> ExportedMetrics = {{
+    {"chivefold_calls_total", "counter", "outcome=\"answered\"",
+     [](const SeriesReport &s) { return static_cast<double>(s.Answered); }},
+    {"chivefold_calls_total", "counter", "outcome=\"not-run\"",
+     [](const SeriesReport &s) { return static_cast<double>(s.NotRun); }},
+    {"chivefold_calls_total", "counter", "outcome=\"unknown\"",
+     [](const SeriesReport &s) { return static_cast<double>(s.Unknown); }},
+    {"chivefold_good_calls_total", "counter", "",
+     [](const SeriesReport &s) { return static_cast<double>(s.Good); }},
+    {"chivefold_worth_offered_total", "counter", "",
+     [](const SeriesReport &s) { return static_cast<double>(s.WorthOffered); }},
+    {"chivefold_worth_served_total", "counter", "",
+     [](const SeriesReport &s) { return static_cast<double>(s.WorthServed); }},
+    {"chivefold_latency_mean_ms", "gauge", "",
+     [](const SeriesReport &s) { return s.LatencyMeanMs; }},
+    {"chivefold_latency_max_ms", "gauge", "",
+     [](const SeriesReport &s) { return s.LatencyMaxMs; }},
+    {"chivefold_latency_ms", "gauge", "quantile=\"0.5\"",
+     [](const SeriesReport &s) { return s.LatencyQuantilesMs[0]; }},
+    {"chivefold_latency_ms", "gauge", "quantile=\"0.9\"",
+     [](const SeriesReport &s) { return s.LatencyQuantilesMs[1]; }},
+    {"chivefold_latency_ms", "gauge", "quantile=\"0.99\"",
+     [](const SeriesReport &s) { return s.LatencyQuantilesMs[2]; }},
+    {"chivefold_latency_ms", "gauge", "quantile=\"0.999\"",
+     [](const SeriesReport &s) { return s.LatencyQuantilesMs[3]; }},
+    {"chivefold_objective", "gauge", "",
+     [](const SeriesReport &s) { return s.Objective; }},
+    {"chivefold_error_budget_spent", "gauge", "",
+     [](const SeriesReport &s) { return s.BudgetSpent; }},
+    {"chivefold_burn_rate", "gauge", "window=\"5m\"",
+     [](const SeriesReport &s) { return s.BurnShort; }},
+    {"chivefold_burn_rate", "gauge", "window=\"1h\"",
+     [](const SeriesReport &s) { return s.BurnLong; }},
+}};
+
+} // namespace
+
+struct Metrics::Series {
+  explicit Series(double objective) : Figures() {
+    Figures.Objective = objective;
+  }
+  SeriesReport Figures;
+  Latency LatencyMs{acc::extended_p_square_probabilities =
+                        MetricsSettings::Quantiles};
+  BucketRing<30> Short{MetricsSettings::ShortWindow};
+  BucketRing<60> Long{MetricsSettings::LongWindow};
+};
+
+Metrics::Metrics(const MetricsSettings &settings) : Settings(settings) {}
+Metrics::~Metrics() = default;
+
+Metrics::Series &Metrics::seriesFor(std::string_view service,
+                                    std::string_view kind) {
+  SeriesKey key(service, kind);
+  auto it = All.find(key);
+  // The last place is kept for the series "other".
+  if (it == All.end() && All.size() + 1 >= MetricsSettings::MaxSeries) {
+    key = {"other", "other"};
+    it = All.find(key);
+  }
+  if (it == All.end()) {
+    it = All.emplace(key, std::make_unique<Series>(Settings.DefaultObjective))
+             .first;
+    it->second->Figures.Service = key.first;
+    it->second->Figures.Kind = key.second;
+  }
+  return *it->second;
+}
+
+void Metrics::record(TimePoint now, const CallSample &sample) {
+  auto &series = seriesFor(sample.Service, sample.Kind);
+  auto &figures = series.Figures;
+  figures.Answered += sample.Result == Outcome::Answered ? 1 : 0;
+  figures.NotRun += sample.Result == Outcome::NotRun ? 1 : 0;
+  figures.Unknown += sample.Result == Outcome::Unknown ? 1 : 0;
+  figures.Good += sample.Good ? 1 : 0;
+  figures.WorthOffered += sample.Worth;
+  figures.WorthServed += sample.Good ? sample.Worth : 0;
+  series.LatencyMs(
+      std::chrono::duration<double, std::milli>(sample.Latency).count());
+  series.Short.add(now, sample.Good);
+  series.Long.add(now, sample.Good);
+}
+
+void Metrics::setObjective(std::string_view service, std::string_view kind,
+                           double objective) {
+  seriesFor(service, kind).Figures.Objective = objective;
+}
+
+MetricsReport Metrics::report(TimePoint now) const {
+  MetricsReport out;
+  for (const auto &it : All) {
+    const auto &series = *it.second;
+    auto figures = series.Figures;
+    const auto count = acc::count(series.LatencyMs);
+    if (count > 0) {
+      figures.LatencyMeanMs = acc::mean(series.LatencyMs);
+      figures.LatencyMaxMs = acc::max(series.LatencyMs);
+      figures.LatencyQuantilesMs.fill(figures.LatencyMaxMs);
+    }
+    if (count >= MinQuantileSamples) {
+      const auto quantiles = acc::extended_p_square(series.LatencyMs);
+      std::copy(quantiles.begin(), quantiles.end(),
+                figures.LatencyQuantilesMs.begin());
+    }
+    figures.BudgetSpent =
+        burnRate({count, count - figures.Good}, figures.Objective);
+    figures.BurnShort = burnRate(series.Short.sum(now), figures.Objective);
+    figures.BurnLong = burnRate(series.Long.sum(now), figures.Objective);
+    out.Series.push_back(std::move(figures));
+  }
+  return out;
+}
+
+std::string toPrometheus(const MetricsReport &report) {
+  std::string out;
+  const char *lastName = "";
+  for (const auto &metric : ExportedMetrics) {
+    if (std::string_view(lastName) != metric.Name) {
+      out += std::string("# TYPE ") + metric.Name + " " + metric.Type + "\n";
+      lastName = metric.Name;
+    }
+    for (const auto &it : report.Series) {
+      std::array<char, 32> value{};
+      std::snprintf(value.data(), value.size(), "%.10g", metric.Value(it));
+      out += std::string(metric.Name) + "{service=\"" + escaped(it.Service) +
+             "\",kind=\"" + escaped(it.Kind) + "\"" +
+             (*metric.Label == '\0' ? "" : ",") + metric.Label + "} " +
+             value.data() + "\n";
+    }
+  }
+  return out;
+}
+
+std::string toJson(const MetricsReport &report) {
+  auto all = nlohmann::json::array();
+  for (const auto &it : report.Series) {
+    all.push_back({{"service", it.Service},
+                   {"kind", it.Kind},
+                   {"answered", it.Answered},
+                   {"not_run", it.NotRun},
+                   {"unknown", it.Unknown},
+                   {"good", it.Good},
+                   {"worth_offered", it.WorthOffered},
+                   {"worth_served", it.WorthServed},
+                   {"latency_mean_ms", it.LatencyMeanMs},
+                   {"latency_max_ms", it.LatencyMaxMs},
+                   {"latency_quantiles_ms", it.LatencyQuantilesMs},
+                   {"objective", it.Objective},
+                   {"error_budget_spent", it.BudgetSpent},
+                   {"burn_rate_5m", it.BurnShort},
+                   {"burn_rate_1h", it.BurnLong}});
+  }
+  // Names come from request paths, so they may not be valid UTF-8.
+  return nlohmann::json{{"series", all}}.dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/src/core/move_controller.cpp
@@ -0,0 +1,234 @@
+#include "chivefold/core/move_controller.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace chivefold {
+
+namespace {
+
+Duration part(Duration time, double factor) {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(time.count()) * factor));
+}
+
+} // namespace
+
+MoveController::MoveController(MoveSettings settings)
+    : Settings(std::move(settings)), Test(Settings.Test) {
+  assert(!Settings.Steps.empty() && Settings.Steps.back() == 10000);
+}
+
+std::vector<MoveAction> MoveController::tick(TimePoint now, UtcTime utcNow,
+                                             const MoveView &view) {
+  std::vector<MoveAction> actions;
+  HoldReason.clear();
+  if (view.Ended) {
+    return actions;
+  }
+  observe(now, utcNow, view);
+  if (EndReason.empty()) {
+    EndReason = reasonToTakeBack(now, utcNow, view);
+    EndEvidence = EndReason.empty() ? "" : Test.assess().Evidence;
+  }
+  if (!EndReason.empty()) {
+    takeBack(now, view, actions);
+  } else if (view.HeldByThisDaemon) {
+    drive(now, view, actions);
+  } else {
+    seekLease(now, view, actions);
+  }
+  return actions;
+}
+
+void MoveController::observe(TimePoint now, UtcTime utcNow,
+                             const MoveView &view) {
+  const bool first = !FirstTick;
+  if (first) {
+    FirstTick = now;
+    TotalTime = std::max(Duration::zero(), Duration(view.Deadline - utcNow));
+  }
+  Test.update(view.OldCounts, view.NewCounts);
+  if (first || view.ShareBasisPoints != SeenShare ||
+      view.CurrentEpoch != SeenEpoch) {
+    if (view.ShareBasisPoints != SeenShare) {
+      Test.restart();
+    }
+    SeenShare = view.ShareBasisPoints;
+    SeenEpoch = view.CurrentEpoch;
+    Emitted[static_cast<std::size_t>(Kind::Step)].reset();
+    planStep(now, utcNow, view);
+  }
+  if (!view.LogAvailable || !isFresh(now, view.LogRead)) {
+    LogFreshSince.reset();
+  } else if (!LogFreshSince) {
+    LogFreshSince = now;
+  }
+  if (view.AbleServers > 0 || view.ShareBasisPoints == 0) {
+    NoServerSince.reset();
+  } else if (!NoServerSince) {
+    NoServerSince = now;
+  }
+}
+
+void MoveController::planStep(TimePoint now, UtcTime utcNow,
+                              const MoveView &view) {
+  const auto left =
+      std::max(Duration::zero(), Duration(view.Deadline - utcNow));
+  const auto reserve = std::clamp(part(left, Settings.ReservePart),
+                                  Settings.MinReserve, Settings.MaxReserve);
+  const auto usable = std::max(Duration::zero(), left - reserve);
+  const auto steps = static_cast<Duration::rep>(stepsAfter(SeenShare));
+  const auto watch = std::min({part(TotalTime, Settings.WatchPart),
+                               Settings.MaxWatch, usable / (steps + 1)});
+  if (SeenShare == 0) {
+    EvidenceTime = ForcedTime = now;
+  } else if (steps == 0) {
+    const auto least = part(TotalTime, Settings.MinWatchPart);
+    EvidenceTime = now + std::max(least, watch);
+    ForcedTime = now + std::max(least, usable);
+  } else {
+    const auto least = part(TotalTime, Settings.MinDwellPart);
+    const auto slot = std::max(least, (usable - watch) / steps);
+    ForcedTime = now + slot;
+    EvidenceTime =
+        now + std::max(least, std::min(part(slot, Settings.EvidenceDwell),
+                                       Settings.MaxEvidenceDwell));
+  }
+}
+
+std::string MoveController::reasonToTakeBack(TimePoint now, UtcTime utcNow,
+                                             const MoveView &view) {
+  if (view.TakenBack) {
+    return "taken back by a safe step";
+  }
+  if (view.ShareBasisPoints > 0 && Test.assess().Result == Verdict::Bad) {
+    return "the new version is worse than the old one";
+  }
+  if (utcNow >= view.Deadline) {
+    return "the deadline passed before the move was done";
+  }
+  if (NoServerSince && now - *NoServerSince >= Settings.NoServerTimeout) {
+    return "no server of the new version can take work";
+  }
+  return {};
+}
+
+void MoveController::takeBack(TimePoint now, const MoveView &view,
+                              std::vector<MoveAction> &actions) {
+  if (!TakenBackSince) {
+    TakenBackSince = now;
+  }
+  HoldReason = EndReason;
+  if (!view.TakenBack && allowed(Kind::TakeBack, now)) {
+    actions.emplace_back(TakeBackNow{EndReason, EndEvidence});
+  }
+  // The record counts from any daemon; the others wait for the holder, so that
+  // not all candidates append it.
+  const auto wait = view.HeldByThisDaemon
+                        ? Duration::zero()
+                        : Settings.RankDelay * (view.Rank + 1);
+  if (view.LogAvailable && now - *TakenBackSince >= wait &&
+      allowed(Kind::End, now)) {
+    actions.emplace_back(AppendEnd{view.CurrentEpoch, MoveResult::TakenBack,
+                                   EndReason, EndEvidence});
+  }
+}
+
+void MoveController::seekLease(TimePoint now, const MoveView &view,
+                               std::vector<MoveAction> &actions) {
+  HoldReason = "another daemon drives the move";
+  if (!LogFreshSince) {
+    HoldReason = "the log cannot be read";
+    return;
+  }
+  // Silence counts only while the log can be read: in an outage a holder that
+  // lives cannot renew either.
+  auto since = std::max(*FirstTick, *LogFreshSince);
+  auto wait = Settings.RankDelay * view.Rank;
+  if (view.CurrentEpoch != Epoch::None) {
+    since = std::max(since, view.HolderSeen.value_or(since));
+    wait += Settings.LeaseTimeout;
+  }
+  if (now - since >= wait && allowed(Kind::Take, now)) {
+    actions.emplace_back(TakeLease{view.CurrentEpoch});
+  }
+}
+
+void MoveController::drive(TimePoint now, const MoveView &view,
+                           std::vector<MoveAction> &actions) {
+  if (view.LogAvailable &&
+      (!view.HolderSeen || now - *view.HolderSeen >= Settings.RenewInterval) &&
+      allowed(Kind::Renew, now)) {
+    actions.emplace_back(RenewLease{view.CurrentEpoch});
+  }
+  HoldReason = reasonToHold(now, view);
+  if (!HoldReason.empty()) {
+    return;
+  }
+  if (stepsAfter(view.ShareBasisPoints) == 0) {
+    if (allowed(Kind::End, now)) {
+      actions.emplace_back(AppendEnd{view.CurrentEpoch, MoveResult::Done,
+                                     "watched at the full share",
+                                     Test.assess().Evidence});
+    }
+  } else if (allowed(Kind::Step, now)) {
+    actions.emplace_back(AppendStep{view.CurrentEpoch,
+                                    *std::upper_bound(Settings.Steps.begin(),
+                                                      Settings.Steps.end(),
+                                                      view.ShareBasisPoints)});
+  }
+}
+
+std::string MoveController::reasonToHold(TimePoint now,
+                                         const MoveView &view) const {
+  if (!view.LogAvailable || !isFresh(now, view.LogRead)) {
+    return "the log is not available";
+  }
+  // A holder that was paused first has to see that its lease is still in force.
+  if (!view.HolderSeen || now - *view.HolderSeen >= Settings.LeaseTimeout) {
+    return "the lease is not renewed";
+  }
+  if (view.AbleServers == 0) {
+    return "no server of the new version can take work";
+  }
+  if (view.ShareBasisPoints == 0) {
+    return {};
+  }
+  if (!isFresh(now, view.CountsRead)) {
+    return "the statistics are too old";
+  }
+  const auto assessment = Test.assess();
+  if (assessment.Suspicion > Settings.MaxSuspicion) {
+    return "evidence against the new version: " + assessment.Evidence;
+  }
+  const bool evident = assessment.Result == Verdict::Good &&
+                       Test.callsSinceRestart() >= Settings.MinStepCalls;
+  if (now < EvidenceTime || (now < ForcedTime && !evident)) {
+    return "collecting evidence";
+  }
+  return {};
+}
+
+bool MoveController::allowed(Kind kind, TimePoint now) {
+  auto &last = Emitted[static_cast<std::size_t>(kind)];
+  if (last && now - *last < Settings.RetryInterval) {
+    return false;
+  }
+  last = now;
+  return true;
+}
+
+std::size_t MoveController::stepsAfter(std::uint32_t share) const {
+  return static_cast<std::size_t>(
+      Settings.Steps.end() -
+      std::upper_bound(Settings.Steps.begin(), Settings.Steps.end(), share));
+}
+
+bool MoveController::isFresh(TimePoint now,
+                             const std::optional<TimePoint> &time) const {
+  return time && now - *time <= Settings.MaxViewAge;
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/src/core/sequential_test.cpp
@@ -0,0 +1,246 @@
+#include "chivefold/core/sequential_test.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+namespace chivefold {
+
+namespace {
+
+/** Weight, in calls, of the floor in the estimate of the old version's rate. */
+constexpr double PriorCalls = 50;
+
+/** Calls over which the variance of the new version's latency is taken. */
+constexpr double NewWindowCalls = 200;
+
+/** Smallest relative variance; guards against division by a constant latency.
+ */
+constexpr double MinRelativeVariance = 0.01;
+
+constexpr std::array<const char *, 3> MeasureNames = {"errors", "refusals",
+                                                      "latency"};
+
+bool shrank(const KindCounts &seen, const KindCounts &counts) {
+  return counts.Calls < seen.Calls || counts.Errors < seen.Errors ||
+         counts.Refusals < seen.Refusals ||
+         counts.LatencySumUs < seen.LatencySumUs;
+}
+
+} // namespace
+
+void SequentialTest::Window::add(const Window &growth, double maxCalls) {
+  const double total = Calls + Refusals + growth.Calls + growth.Refusals;
+  const double keep =
+      total <= maxCalls
+          ? 1.0
+          : std::max(0.0, maxCalls - growth.Calls - growth.Refusals) /
+                std::max(1.0, Calls + Refusals);
+  Calls = Calls * keep + growth.Calls;
+  Errors = Errors * keep + growth.Errors;
+  Refusals = Refusals * keep + growth.Refusals;
+  LatencyMs = LatencyMs * keep + growth.LatencyMs;
+  LatencySquareMs2 = LatencySquareMs2 * keep + growth.LatencySquareMs2;
+}
+
+double SequentialTest::Window::meanMs() const {
+  return Calls > 0 ? LatencyMs / Calls : 0;
+}
+
+double SequentialTest::Window::varianceMs2() const {
+  const double mean = meanMs();
+  return Calls > 0 ? std::max(0.0, LatencySquareMs2 / Calls - mean * mean) : 0;
+}
+
+SequentialTest::SequentialTest(const SequentialTestSettings &settings)
+    : Settings(settings) {
+  All.Label = "all routes";
+}
+
+SequentialTest::Window SequentialTest::takeGrowth(KindCounts &seen,
+                                                  const KindCounts &counts) {
+  Window growth;
+  if (!shrank(seen, counts)) {
+    growth.Calls = static_cast<double>(counts.Calls - seen.Calls);
+    growth.Errors = std::min(growth.Calls,
+                             static_cast<double>(counts.Errors - seen.Errors));
+    growth.Refusals = static_cast<double>(counts.Refusals - seen.Refusals);
+    growth.LatencyMs =
+        static_cast<double>(counts.LatencySumUs - seen.LatencySumUs) / 1000.0;
+    growth.LatencySquareMs2 =
+        std::max(0.0, counts.LatencySquareSumMs2 - seen.LatencySquareSumMs2);
+  }
+  seen = counts;
+  return growth;
+}
+
+SequentialTest::Series *SequentialTest::seriesFor(const KindCounts &counts) {
+  const SeriesKey key(counts.PathPrefix, counts.Kind);
+  const auto it = Routes.find(key);
+  if (it != Routes.end()) {
+    return &it->second;
+  }
+  if (Routes.size() >= MaxSeries) {
+    return nullptr;
+  }
+  auto &series = Routes[key];
+  series.Label = "route " + counts.PathPrefix + " kind " + counts.Kind;
+  return &series;
+}
+
+void SequentialTest::update(const std::vector<KindCounts> &oldCounts,
+                            const std::vector<KindCounts> &newCounts) {
+  struct Growth {
+    Window Old;
+    Window New;
+  };
+  std::map<Series *, Growth> growths;
+  for (const auto &it : oldCounts) {
+    if (auto *series = seriesFor(it)) {
+      growths[series].Old = takeGrowth(series->OldSeen, it);
+    }
+  }
+  for (const auto &it : newCounts) {
+    if (auto *series = seriesFor(it)) {
+      growths[series].New = takeGrowth(series->NewSeen, it);
+    }
+  }
+  Window oldAll;
+  Window newAll;
+  for (auto &[series, growth] : growths) {
+    updateSeries(*series, growth.Old, growth.New);
+    oldAll.add(growth.Old, HUGE_VAL);
+    newAll.add(growth.New, HUGE_VAL);
+  }
+  updateSeries(All, oldAll, newAll);
+  NewCallsSinceRestart += newAll.Calls + newAll.Refusals;
+}
+
+void SequentialTest::updateSeries(Series &series, const Window &oldGrowth,
+                                  const Window &newGrowth) {
+  series.Old.add(oldGrowth, Settings.BaselineCalls);
+  series.New.add(newGrowth, NewWindowCalls);
+  updateRate(series, Errors, newGrowth.Errors, newGrowth.Calls);
+  updateRate(series, Refusals, newGrowth.Refusals,
+             newGrowth.Calls + newGrowth.Refusals);
+  updateLatency(series, newGrowth);
+}
+
+double SequentialTest::baseRate(const Series &series, Measure measure) const {
+  const bool errors = measure == Errors;
+  const double floor = errors ? Settings.ErrorFloor : Settings.RefusalFloor;
+  const double bad = errors ? series.Old.Errors : series.Old.Refusals;
+  const double total = series.Old.Calls + (errors ? 0.0 : series.Old.Refusals);
+  return std::max(floor, (bad + PriorCalls * floor) / (total + PriorCalls));
+}
+
+void SequentialTest::updateRate(Series &series, Measure measure, double bad,
+                                double total) {
+  if (total <= 0) {
+    return;
+  }
+  const double margin =
+      measure == Errors ? Settings.ErrorMargin : Settings.RefusalMargin;
+  const double p0 = std::min(baseRate(series, measure), 0.98 - margin);
+  const double p1 = p0 + margin;
+  double &evidence = series.Evidence[measure];
+  evidence +=
+      bad * std::log(p1 / p0) + (total - bad) * std::log((1 - p1) / (1 - p0));
+  evidence = std::max(evidence, lowerBound());
+}
+
+void SequentialTest::updateLatency(Series &series, const Window &growth) {
+  if (growth.Calls <= 0 || series.Old.Calls < Settings.MinLatencyCalls ||
+      series.New.Calls < Settings.MinLatencyCalls) {
+    return;
+  }
+  const double mean = std::max(series.Old.meanMs(), 0.001);
+  const double shift = Settings.LatencyFactor - 1;
+  // The larger variance counts: one slow call then raises the variance along
+  // with the mean and is weak evidence.
+  const double variance =
+      std::max({series.Old.varianceMs2() / (mean * mean),
+                series.New.varianceMs2() / (mean * mean), MinRelativeVariance});
+  double &evidence = series.Evidence[Latency];
+  evidence += shift / variance *
+              (growth.LatencyMs / mean - growth.Calls * (1 + shift / 2));
+  evidence = std::max(evidence, lowerBound());
+}
+
+double SequentialTest::upperBound() const {
+  // Three measures for each route and for all routes together.
+  const double tests =
+      static_cast<double>(MeasureCount) *
+      static_cast<double>(Routes.size() > 1 ? Routes.size() + 1 : 1);
+  return std::log((1 - Settings.Beta) * tests / Settings.Alpha);
+}
+
+double SequentialTest::lowerBound() const {
+  return std::log(Settings.Beta / (1 - Settings.Alpha));
+}
+
+void SequentialTest::restart() {
+  NewCallsSinceRestart = 0;
+  const auto keepOnlyAgainst = [](Series &series) {
+    for (auto &it : series.Evidence) {
+      it = std::max(it, 0.0);
+    }
+  };
+  keepOnlyAgainst(All);
+  for (auto &it : Routes) {
+    keepOnlyAgainst(it.second);
+  }
+}
+
+Assessment SequentialTest::assess() const {
+  const Series *worst = &All;
+  Measure measure = Errors;
+  const auto consider = [&](const Series &series) {
+    for (const auto it : {Errors, Refusals, Latency}) {
+      if (series.Evidence[it] > worst->Evidence[measure]) {
+        worst = &series;
+        measure = it;
+      }
+    }
+  };
+  consider(All);
+  for (const auto &it : Routes) {
+    consider(it.second);
+  }
+  Assessment out;
+  out.Suspicion = worst->Evidence[measure] / upperBound();
+  out.Evidence = describe(*worst, measure);
+  const double low = lowerBound() * 0.999; // Not subject to rounding.
+  if (out.Suspicion >= 1) {
+    out.Result = Verdict::Bad;
+  } else if (All.Evidence[Errors] <= low && All.Evidence[Latency] <= low &&
+             out.Suspicion < 0.5) {
+    out.Result = Verdict::Good;
+  }
+  return out;
+}
+
+std::string SequentialTest::describe(const Series &series,
+                                     Measure measure) const {
+  std::array<char, 192> text{};
+  if (measure == Latency) {
+    std::snprintf(text.data(), text.size(),
+                  "latency mean %.1f ms, old %.1f ms, recent calls %.0f",
+                  series.New.meanMs(), series.Old.meanMs(), series.New.Calls);
+  } else {
+    const bool errors = measure == Errors;
+    const double bad = errors ? series.New.Errors : series.New.Refusals;
+    const double total = series.New.Calls + (errors ? 0 : series.New.Refusals);
+    std::snprintf(text.data(), text.size(),
+                  "%s %.1f of %.0f recent calls, old rate %.2f%%",
+                  MeasureNames[measure], bad, total,
+                  100 * baseRate(series, measure));
+  }
+  std::array<char, 64> ratio{};
+  std::snprintf(ratio.data(), ratio.size(),
+                "; log likelihood ratio %.1f of %.1f", series.Evidence[measure],
+                upperBound());
+  return series.Label + ": " + text.data() + ratio.data();
+}
+
+} // namespace chivefold
