Rename the verdict of the sequential test

Cause: verdict.h of the replay and sequential_test.h both declared Verdict in one namespace; including both did not compile. Conclusion: the test's enumeration is TestVerdict.

--- a/include/chivefold/core/sequential_test.h
+++ b/include/chivefold/core/sequential_test.h
@@ -32,7 +32,7 @@
 };
 
 /** What the test says about the new version. */
-enum class Verdict : std::uint8_t { Undecided, Good, Bad };
+enum class TestVerdict : std::uint8_t { Undecided, Good, Bad };
 
 /** Weights of the test. Each deployment states its own. */
 struct SequentialTestSettings {
@@ -56,9 +56,9 @@
   double BaselineCalls = 1000;
 };
 
-/** Verdict with the figures that support it. */
+/** TestVerdict with the figures that support it. */
 struct Assessment {
-  Verdict Result = Verdict::Undecided;
+  TestVerdict Result = TestVerdict::Undecided;
   /**
    * Strongest evidence against the new version as a part of the evidence that
    * is needed to call it bad; 1 or more means bad, 0 or less speaks for it.
--- a/src/core/move_controller.cpp
+++ b/src/core/move_controller.cpp
@@ -103,7 +103,7 @@
   if (view.TakenBack) {
     return "taken back by a safe step";
   }
-  if (view.ShareBasisPoints > 0 && Test.assess().Result == Verdict::Bad) {
+  if (view.ShareBasisPoints > 0 && Test.assess().Result == TestVerdict::Bad) {
     return "the new version is worse than the old one";
   }
   if (utcNow >= view.Deadline) {
@@ -203,7 +203,7 @@
   if (assessment.Suspicion > Settings.MaxSuspicion) {
     return "evidence against the new version: " + assessment.Evidence;
   }
-  const bool evident = assessment.Result == Verdict::Good &&
+  const bool evident = assessment.Result == TestVerdict::Good &&
                        Test.callsSinceRestart() >= Settings.MinStepCalls;
   if (now < EvidenceTime || (now < ForcedTime && !evident)) {
     return "collecting evidence";
--- a/src/core/sequential_test.cpp
+++ b/src/core/sequential_test.cpp
@@ -212,10 +212,10 @@
   out.Evidence = describe(*worst, measure);
   const double low = lowerBound() * 0.999; // Not subject to rounding.
   if (out.Suspicion >= 1) {
-    out.Result = Verdict::Bad;
+    out.Result = TestVerdict::Bad;
   } else if (All.Evidence[Errors] <= low && All.Evidence[Latency] <= low &&
              out.Suspicion < 0.5) {
-    out.Result = Verdict::Good;
+    out.Result = TestVerdict::Good;
   }
   return out;
 }
