--- a/tests/e2e/atlas.sh
+++ b/tests/e2e/atlas.sh
@@ -88,11 +88,10 @@
 # accepted_offset OUTPUT prints the offset of "accepted at offset N".
 accepted_offset() { grep -oE 'accepted at offset [0-9]+' <<<"$1" | grep -oE '[0-9]+$'; }
 
-# caller_addresses N... prints a comma-separated list.
+# caller_addresses N... prints the addresses for callers.
 caller_addresses() {
-  local n list=()
+  local n
   for n in "$@"; do
-    list+=("$(caller_address "$n")")
+    caller_address "$n"
   done
-  (IFS=,; echo "${list[*]}")
 }
--- a/tests/e2e/lib.sh
+++ b/tests/e2e/lib.sh
@@ -95,7 +95,7 @@
 
 # state_field N NAME prints a number from a daemon's state.
 state_field() {
-  curl -fsS "http://$(admin_address "$1")/-/state" 2>/dev/null | grep -oE "\"$2\": ?[0-9]+" | head -1 | grep -oE '[0-9]+$'
+  curl -fsS "http://$(admin_address "$1")/-/state" 2>/dev/null | jq ".$2"
 }
 
 # all_at_version V succeeds once every daemon has version V or a later one in force.
@@ -111,3 +111,21 @@
   echo "FAILED: $*" >&2
   exit 1
 }
+
+# check_at_most_once LOAD_REPORT compares the executions of all backend servers
+# that still run with what the load generator was told.
+check_at_most_once() {
+  local n executions twice lied
+  executions=$(for n in "${daemons[@]}"; do
+    curl -fsS "http://$(backend_address "$n")/-/executions?keys=1" 2>/dev/null || true
+  done | jq -s -c '[.[].keys // {} | to_entries[]] | group_by(.key) | map({key: .[0].key, value: (map(.value) | add)}) | from_entries')
+  twice=$(jq '[.[] | select(. > 1)] | length' <<<"$executions")
+  # A repeat of a key that was truly not run may run later.
+  lied=$(jq -s '.[0] as $runs | .[1].keys as $told
+    | ($told["not-run"] // []) - ($told.succeeded // []) - ($told.answered // []) - ($told.unknown // [])
+    | [.[] | select($runs[.] != null)] | length' \
+    <(echo "$executions") "$1")
+  echo "at most once: $(jq length <<<"$executions") keys run, $twice run twice, $lied run after \"not run\""
+  [ "$twice" = 0 ] || fail "$twice keys ran twice"
+  [ "$lied" = 0 ] || fail "$lied keys ran that a caller was told were not run"
+}
--- a/tests/standins/backend_server.cpp
+++ b/tests/standins/backend_server.cpp
@@ -104,11 +104,11 @@
     }
     const auto timeout = request.header("Chivefold-Timeout-Ms");
     if (!timeout.empty() && std::strtol(timeout.c_str(), nullptr, 10) <= 0) {
-      return {504, "deadline passed\n", headers(), false};
+      return {504, "deadline passed\n", notRunHeaders(), false};
     }
     const auto inFlight = ++InFlight;
     Response answer = inFlight > Settings.Slots
-                          ? Response{503, "no slot\n", headers(), false}
+                          ? Response{503, "no slot\n", notRunHeaders(), false}
                           : run(request, inFlight);
     --InFlight;
     return answer;
@@ -202,6 +202,13 @@
     return status;
   }
 
+  /** Says that the request was not run, so that it may be sent elsewhere. */
+  std::vector<std::pair<std::string, std::string>> notRunHeaders() const {
+    auto all = headers();
+    all.emplace_back("Chivefold-Outcome", "not-run");
+    return all;
+  }
+
   std::vector<std::pair<std::string, std::string>> headers() const {
     return {{"Chivefold-Served-By", Settings.Name},
             {"Chivefold-Served-By-Version", Settings.VersionName}};
