--- a/include/chivefold/core/control_state.h
+++ b/include/chivefold/core/control_state.h
@@ -203,8 +203,7 @@
   void endMove(MoveState &move, LogOffset at, MoveResult result,
                const std::string &reason);
   void boundMoves();
-  bool addPart(const RecordId &changeId, std::uint32_t index,
-               PendingPart part);
+  bool addPart(const RecordId &changeId, std::uint32_t index, PendingPart part);
   void dropPending(const RecordId &changeId);
   void setConfiguration(std::shared_ptr<const Configuration> next);
   std::uint64_t computeDigest() const;
--- a/src/core/control_snapshot.cpp
+++ b/src/core/control_snapshot.cpp
@@ -15,8 +15,7 @@
   const auto digest = hash64(bytes);
   std::vector<SnapshotPartRecord> parts;
   for (std::size_t n = 0; n < count; ++n) {
-    parts.push_back({snapshotId, state.applied(),
-                     static_cast<std::uint32_t>(n),
+    parts.push_back({snapshotId, state.applied(), static_cast<std::uint32_t>(n),
                      static_cast<std::uint32_t>(count), digest,
                      bytes.substr(n * SnapshotLimits::PartBytes,
                                   SnapshotLimits::PartBytes)});
@@ -30,9 +29,9 @@
       part.Index >= part.PartCount) {
     return std::nullopt;
   }
-  auto it = std::find_if(
-      Partials.begin(), Partials.end(),
-      [&](const Partial &p) { return p.Id == part.SnapshotId; });
+  auto it =
+      std::find_if(Partials.begin(), Partials.end(),
+                   [&](const Partial &p) { return p.Id == part.SnapshotId; });
   if (it == Partials.end()) {
     if (Partials.size() == SnapshotLimits::MaxAssembled) {
       Partials.pop_front();
--- a/src/core/control_state.cpp
+++ b/src/core/control_state.cpp
@@ -9,8 +9,7 @@
 class Hasher {
 public:
   Hasher &add(std::uint64_t n) {
-    Value =
-        hash64({reinterpret_cast<const char *>(&n), sizeof n}, Value);
+    Value = hash64({reinterpret_cast<const char *>(&n), sizeof n}, Value);
     return *this;
   }
   Hasher &add(std::string_view s) {
@@ -62,9 +61,8 @@
     return VerdictKind::AlreadyApplied;
   }
   if (raw(entry.Offset) != raw(Applied) + 1) {
-    return Reason{ErrorCode::Conflict,
-                  "records missing before " +
-                      std::to_string(raw(entry.Offset))};
+    return Reason{ErrorCode::Conflict, "records missing before " +
+                                           std::to_string(raw(entry.Offset))};
   }
   Applied = entry.Offset;
   CachedDigest.reset();
--- a/src/core/control_state_change.cpp
+++ b/src/core/control_state_change.cpp
@@ -35,9 +35,10 @@
     dropPending(r.ChangeId);
     return lostRace();
   }
-  const auto it = std::find_if(
-      Pending.begin(), Pending.end(),
-      [&](const PendingChange &p) { return p.ChangeId == r.ChangeId; });
+  const auto it =
+      std::find_if(Pending.begin(), Pending.end(), [&](const PendingChange &p) {
+        return p.ChangeId == r.ChangeId;
+      });
   // Keys are distinct, so size and last index imply that no part is missing.
   if (r.PartCount == 0 || it == Pending.end() ||
       it->Parts.size() != r.PartCount ||
@@ -62,9 +63,10 @@
 
 bool ControlState::addPart(const RecordId &changeId, std::uint32_t index,
                            PendingPart part) {
-  auto it = std::find_if(
-      Pending.begin(), Pending.end(),
-      [&](const PendingChange &p) { return p.ChangeId == changeId; });
+  auto it =
+      std::find_if(Pending.begin(), Pending.end(), [&](const PendingChange &p) {
+        return p.ChangeId == changeId;
+      });
   if (it == Pending.end()) {
     Pending.push_back({changeId, {}});
     it = std::prev(Pending.end());
@@ -83,9 +85,10 @@
 }
 
 void ControlState::dropPending(const RecordId &changeId) {
-  const auto it = std::find_if(
-      Pending.begin(), Pending.end(),
-      [&](const PendingChange &p) { return p.ChangeId == changeId; });
+  const auto it =
+      std::find_if(Pending.begin(), Pending.end(), [&](const PendingChange &p) {
+        return p.ChangeId == changeId;
+      });
   if (it == Pending.end()) {
     return;
   }
@@ -163,8 +166,8 @@
   m.Service = after.Name;
   m.Move = at;
   const auto made = Overrides.find(after.Name);
-  m.FromVersion = made == Overrides.end() ? after.CurrentVersion
-                                          : made->second.ToVersion;
+  m.FromVersion =
+      made == Overrides.end() ? after.CurrentVersion : made->second.ToVersion;
   m.ToVersion = after.Move->ToVersion;
   m.Deadline = after.Move->Deadline;
   Moves[after.Name] = std::move(m);
--- a/src/core/control_state_move.cpp
+++ b/src/core/control_state_move.cpp
@@ -3,8 +3,7 @@
 
 namespace chivefold {
 
-MoveState *ControlState::runningMove(const std::string &service,
-                                     Version move) {
+MoveState *ControlState::runningMove(const std::string &service, Version move) {
   const auto it = Moves.find(service);
   const bool running =
       it != Moves.end() && it->second.Move == move && !it->second.Ended;
@@ -16,8 +15,7 @@
     return Verdict(VerdictKind::Unknown);
   }
   const auto it = Leases.find(r.Service);
-  const auto current =
-      it == Leases.end() ? Epoch::None : it->second.LeaseEpoch;
+  const auto current = it == Leases.end() ? Epoch::None : it->second.LeaseEpoch;
   if (r.ExpectedEpoch != current) {
     return Verdict(VerdictKind::StaleEpoch);
   }
--- a/src/core/control_state_snapshot.cpp
+++ b/src/core/control_state_snapshot.cpp
@@ -296,8 +296,7 @@
   for (const auto &it : w.verdicts) {
     const auto id = toRecordId(it.id_high(), it.id_low());
     if (it.kind() > static_cast<std::uint32_t>(VerdictKind::AlreadyApplied) ||
-        it.winner_writer() >= w.verdict_writers.size() ||
-        s.Verdicts.find(id)) {
+        it.winner_writer() >= w.verdict_writers.size() || s.Verdicts.find(id)) {
       return false;
     }
     s.Verdicts.add(id, {static_cast<VerdictKind>(it.kind()),
@@ -328,9 +327,9 @@
       return false;
     }
     const auto *part = std::get_if<ChangePartRecord>(&record->Body);
-    if (part == nullptr || !s.addPart(part->ChangeId, part->Index,
-                                      {LogOffset{it->offset},
-                                       std::string(bytes)})) {
+    if (part == nullptr ||
+        !s.addPart(part->ChangeId, part->Index,
+                   {LogOffset{it->offset}, std::string(bytes)})) {
       return false;
     }
   }
--- a/src/core/dissemination.cpp
+++ b/src/core/dissemination.cpp
@@ -73,9 +73,8 @@
   }
 }
 
-std::vector<Push>
-Dissemination::pushesOf(const std::vector<LogEntry> &records,
-                        const std::optional<Address> &from) {
+std::vector<Push> Dissemination::pushesOf(const std::vector<LogEntry> &records,
+                                          const std::optional<Address> &from) {
   std::vector<Push> pushes;
   std::vector<LogEntry> message;
   std::size_t bytes = 0;
@@ -158,8 +157,7 @@
 }
 
 Status Dissemination::installState(ControlState state) {
-  if (state.applied() <= State.applied() ||
-      state.version() < State.version()) {
+  if (state.applied() <= State.applied() || state.version() < State.version()) {
     return Reason{ErrorCode::Conflict, "snapshot is not newer than the state"};
   }
   State = std::move(state);
--- a/src/core/member_table.cpp
+++ b/src/core/member_table.cpp
@@ -123,9 +123,9 @@
 void MemberTable::setState(Entry &entry, MemberState state, TimePoint now) {
   entry.Value.State = state;
   entry.Quiet = false;
-  entry.Deadline = now + (state == MemberState::Suspect
-                              ? MembershipLimits::SuspicionTimeout
-                              : MembershipLimits::DeadRetention);
+  entry.Deadline =
+      now + (state == MemberState::Suspect ? MembershipLimits::SuspicionTimeout
+                                           : MembershipLimits::DeadRetention);
 }
 
 std::optional<Member> MemberTable::heardFrom(const Member &sender,
@@ -138,8 +138,8 @@
     return std::nullopt;
   }
   const auto &known = it->second.Value;
-  const bool sameRun = known.Incarnation == sender.Incarnation &&
-                       known.BootId == sender.BootId;
+  const bool sameRun =
+      known.Incarnation == sender.Incarnation && known.BootId == sender.BootId;
   if (sameRun && it->second.Quiet) {
     setState(it->second, sender.State, now);
     return std::nullopt;
@@ -211,6 +211,10 @@
     }
     ++it;
   }
+  for (auto it = Suspicions.begin(); it != Suspicions.end();) {
+    const bool old = it->second.back() + MembershipLimits::MassWindow < now;
+    it = old ? Suspicions.erase(it) : std::next(it);
+  }
 }
 
 bool MemberTable::evictDead() {
@@ -245,15 +249,12 @@
       all.push_back(it.second.Value);
     }
   }
-  std::sort(all.begin(), all.end(), [](const Member &a, const Member &b) {
-    return a.Peer < b.Peer;
-  });
+  std::sort(all.begin(), all.end(),
+            [](const Member &a, const Member &b) { return a.Peer < b.Peer; });
   return all;
 }
 
-std::size_t MemberTable::aliveCount() const {
-  return aliveOthers().size() + 1;
-}
+std::size_t MemberTable::aliveCount() const { return aliveOthers().size() + 1; }
 
 std::size_t MemberTable::otherAliveDataCentres() const {
   std::set<std::string_view> names;
--- a/src/core/record.cpp
+++ b/src/core/record.cpp
@@ -273,6 +273,10 @@
 }
 
 Result<RecordBody> bodyFromWire(const wire::RecordBodyUnion &body) {
+  // The verifier accepts a union whose type is set and whose value is absent.
+  if (body.value == nullptr) {
+    return invalidRecord("record without a body");
+  }
   switch (body.type) {
   case wire::RecordBody::Change:
     return bodyFromWire(*body.AsChange());
--- a/src/core/safe_steps.cpp
+++ b/src/core/safe_steps.cpp
@@ -86,10 +86,10 @@
   if (size() < MaxSteps) {
     return true;
   }
-  const auto first = std::min_element(
-      Quarantines.begin(), Quarantines.end(), [](const auto &a, const auto &b) {
-        return a.second.Until < b.second.Until;
-      });
+  const auto first = std::min_element(Quarantines.begin(), Quarantines.end(),
+                                      [](const auto &a, const auto &b) {
+                                        return a.second.Until < b.second.Until;
+                                      });
   if (first == Quarantines.end()) {
     return false;
   }
--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -19,13 +19,12 @@
 }}};
 
 std::uint64_t hashOf(const VerdictHistory::Entry &e) {
-  const std::uint64_t words[] = {raw(e.Value.Offset),
-                                 raw(e.Value.WinnerOffset),
+  const std::uint64_t words[] = {raw(e.Value.Offset), raw(e.Value.WinnerOffset),
                                  static_cast<std::uint64_t>(e.Value.Kind)};
   auto h = hash64({reinterpret_cast<const char *>(words), sizeof words});
-  h = hash64({reinterpret_cast<const char *>(e.Id.Bytes.data()),
-              e.Id.Bytes.size()},
-             h);
+  h = hash64(
+      {reinterpret_cast<const char *>(e.Id.Bytes.data()), e.Id.Bytes.size()},
+      h);
   return hash64(e.Value.WinnerWriter, h);
 }
 
--- /dev/null
+++ b/tests/unit/safe_steps_test.cpp
@@ -0,0 +1,121 @@
+#include "chivefold/core/safe_steps.h"
+#include "log_builder.h"
+
+#include <catch2/catch.hpp>
+
+using namespace chivefold;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::hours(1)};
+
+SafeStep takeOut(const std::string &dc, LogOffset after) {
+  SafeStep s;
+  s.Kind = SafeStepKind::TakeOut;
+  s.Subject = dc;
+  s.AfterOffset = after;
+  return s;
+}
+
+SafeStep takeBack(const std::string &service, Version move) {
+  SafeStep s;
+  s.Subject = service;
+  s.Move = move;
+  return s;
+}
+
+SafeStep quarantine(std::uint64_t digest, std::uint32_t count) {
+  SafeStep s;
+  s.Kind = SafeStepKind::Quarantine;
+  s.RequestDigest = digest;
+  s.Count = count;
+  return s;
+}
+
+} // namespace
+
+// Guards against a take-out that is lost before its record, and one that cannot
+// be undone or is revived by a late copy.
+TEST_CASE("a later put-back supersedes a take-out", "[safe-steps]") {
+  LogBuilder log;
+  ControlState state;
+  REQUIRE(state.apply(log.append(ChangeRecord{{}, {fleetSection()}})));
+  REQUIRE(state.apply(log.append(DataCentreRecord{"east", false})));
+  SafeSteps steps(state);
+  const auto step = takeOut("east", state.applied());
+  CHECK(steps.merge(step, Start));
+  CHECK_FALSE(steps.merge(step, Start));
+  steps.prune(Start);
+  CHECK(steps.isTakenOut("east"));
+  CHECK_FALSE(steps.isTakenOut("west"));
+  REQUIRE(state.apply(log.append(DataCentreRecord{"east", false})));
+  CHECK_FALSE(steps.isTakenOut("east"));
+  steps.prune(Start);
+  CHECK(steps.size() == 0);
+  CHECK_FALSE(steps.merge(step, Start));
+  CHECK(steps.merge(takeOut("east", state.applied()), Start));
+}
+
+// Guards against a bad version that keeps its share until the log answers, and
+// a later move that inherits the take-back.
+TEST_CASE("a take-back applies to its move only", "[safe-steps]") {
+  LogBuilder log;
+  ControlState state;
+  const auto apply = [&](RecordBody body) {
+    REQUIRE(*state.apply(log.append(std::move(body))) == VerdictKind::Counted);
+    return state.applied();
+  };
+  const auto move =
+      apply(ChangeRecord{{}, {serviceSection(movingService("s"))}});
+  const auto epoch =
+      apply(LeaseTakeRecord{"s", move, daemonId(1), Epoch::None});
+  apply(MoveStepRecord{"s", move, epoch, 500});
+  SafeSteps steps(state);
+  CHECK(steps.shareOf("s") == 500);
+  CHECK(steps.merge(takeBack("s", move), Start));
+  CHECK(steps.shareOf("s") == 0);
+  apply(MoveStepRecord{"s", move, epoch, 1000});
+  CHECK(steps.shareOf("s") == 0);
+
+  const auto next =
+      apply(ChangeRecord{move, {serviceSection(movingService("s", 2000))}});
+  const auto nextEpoch =
+      apply(LeaseTakeRecord{"s", next, daemonId(1), Epoch::None});
+  apply(MoveStepRecord{"s", next, nextEpoch, 700});
+  CHECK(steps.shareOf("s") == 700);
+  steps.prune(Start);
+  CHECK(steps.size() == 0);
+  CHECK_FALSE(steps.merge(takeBack("s", move), Start));
+}
+
+// Guards against a quarantine that a copy still under way renews forever.
+TEST_CASE("a quarantine ends", "[safe-steps]") {
+  ControlState state;
+  SafeSteps steps(state);
+  CHECK(steps.merge(quarantine(5, 1), Start));
+  CHECK_FALSE(steps.isQuarantined(5, Start));
+  CHECK(steps.merge(quarantine(5, 2), Start));
+  CHECK_FALSE(steps.merge(quarantine(5, 2), Start));
+  CHECK(steps.isQuarantined(5, Start));
+  const auto end = Start + SafeSteps::QuarantineTime;
+  steps.prune(end);
+  CHECK_FALSE(steps.isQuarantined(5, end));
+  CHECK_FALSE(steps.merge(quarantine(5, 2), end));
+  CHECK(steps.steps(end).empty());
+  steps.prune(Start + SafeSteps::QuarantineMemory);
+  CHECK(steps.size() == 0);
+}
+
+// Guards against unbounded growth, and a take-out that quarantines crowd out.
+TEST_CASE("safe steps are bounded", "[safe-steps]") {
+  ControlState state;
+  SafeSteps steps(state);
+  for (std::uint64_t n = 0; n < SafeSteps::MaxSteps; ++n) {
+    REQUIRE(steps.merge(quarantine(n, 2), Start + Duration(n)));
+  }
+  CHECK(steps.merge(takeOut("east", LogOffset::None), Start));
+  CHECK(steps.size() == SafeSteps::MaxSteps);
+  CHECK(steps.isTakenOut("east"));
+  CHECK_FALSE(steps.isQuarantined(0, Start));
+  CHECK(steps.isQuarantined(1, Start));
+}
