--- a/fuzz/control_replay.cpp
+++ b/fuzz/control_replay.cpp
@@ -2,8 +2,8 @@
 // doubles and reorders messages never go back to an older version, and agree
 // once messages arrive. Guards against both being broken by some order of
 // messages that no unit test names.
-#include "chivefold/core/dissemination.h"
 #include "../tests/unit/log_builder.h"
+#include "chivefold/core/dissemination.h"
 
 #include <rapidcheck.h>
 #include <rapidcheck/state.h>
@@ -75,10 +75,9 @@
     case 2:
       return append(MoveStepRecord{"s", move, epoch, 100 * (kind % 100)});
     case 3:
-      return append(MoveEndRecord{"s", move, epoch,
-                                  kind % 4 == 1 ? MoveResult::Done
-                                                : MoveResult::TakenBack,
-                                  "", ""});
+      return append(MoveEndRecord{
+          "s", move, epoch,
+          kind % 4 == 1 ? MoveResult::Done : MoveResult::TakenBack, "", ""});
     case 4:
       return append(ClaimRecord{holder, {{kind % 10, 0}, {kind % 7, 1}}});
     default:
@@ -92,8 +91,8 @@
     from %= e.size();
     count = std::min(count, e.size() - from);
     const auto first = e.begin() + static_cast<std::ptrdiff_t>(from);
-    deliver({n, std::nullopt,
-             {first, first + static_cast<std::ptrdiff_t>(count)}});
+    deliver(
+        {n, std::nullopt, {first, first + static_cast<std::ptrdiff_t>(count)}});
   }
 
   void probe(std::size_t n, std::size_t peer) {
@@ -107,8 +106,8 @@
     if (InFlight.empty()) {
       return;
     }
-    const auto it = InFlight.begin() +
-                    static_cast<std::ptrdiff_t>(which % InFlight.size());
+    const auto it =
+        InFlight.begin() + static_cast<std::ptrdiff_t>(which % InFlight.size());
     const auto message = *it;
     if (fate % 4 != 1) {
       InFlight.erase(it);
@@ -241,9 +240,10 @@
   const bool ok = rc::check("daemons converge and never go back", [] {
     TestFleet fleet;
     rc::state::check(Model{}, fleet, [](const Model & /*s0*/) {
-      return rc::gen::exec(
-          [] { return std::shared_ptr<const rc::state::Command<Model, TestFleet>>(
-                   std::make_shared<const Step>()); });
+      return rc::gen::exec([] {
+        return std::shared_ptr<const rc::state::Command<Model, TestFleet>>(
+            std::make_shared<const Step>());
+      });
     });
     fleet.settle();
   });
