--- a/include/chivefold/core/move_controller.h
+++ b/include/chivefold/core/move_controller.h
@@ -30,8 +30,10 @@
   Duration MaxEvidenceDwell = std::chrono::minutes(10);
   /** Calls at the present share without which there is no evidence. */
   double MinStepCalls = 20;
-  /** Evidence against the version (1 is bad) from which no step is taken. */
+  /** Evidence against the version (1 is bad) above which no step is taken
+   * early, and above which none is taken even if the deadline forces it. */
   double MaxSuspicion = 0.35;
+  double MaxForcedSuspicion = 0.6;
   /** Part of the move's time that is spent watching at the last share. */
   double WatchPart = 0.2;
   /** The watch lasts no longer than this. */
--- a/src/core/move_controller.cpp
+++ b/src/core/move_controller.cpp
@@ -200,12 +200,14 @@
     return "the statistics are too old";
   }
   const auto assessment = Test.assess();
-  if (assessment.Suspicion > Settings.MaxSuspicion) {
+  const bool forced = now >= ForcedTime;
+  if (assessment.Suspicion >
+      (forced ? Settings.MaxForcedSuspicion : Settings.MaxSuspicion)) {
     return "evidence against the new version: " + assessment.Evidence;
   }
   const bool evident = assessment.Result == Verdict::Good &&
                        Test.callsSinceRestart() >= Settings.MinStepCalls;
-  if (now < EvidenceTime || (now < ForcedTime && !evident)) {
+  if (now < EvidenceTime || (!forced && !evident)) {
     return "collecting evidence";
   }
   return {};
--- /dev/null
+++ b/tests/unit/metrics_test.cpp
@@ -0,0 +1,59 @@
+#include "chivefold/core/metrics.h"
+
+#include <catch2/catch.hpp>
+
+using namespace chivefold;
+
+namespace {
+
+TimePoint at(int second) { return TimePoint(std::chrono::seconds(second)); }
+
+CallSample sample(std::string_view kind, bool good) {
+  return {"desk", kind, good ? Outcome::Answered : Outcome::Unknown,
+          good,   3,    std::chrono::milliseconds(good ? 10 : 100)};
+}
+
+} // namespace
+
+// Guards against burn rates that keep counting calls older than their window.
+TEST_CASE("burn rates forget what is older than their window", "[metrics]") {
+  Metrics metrics{MetricsSettings()};
+  metrics.setObjective("desk", "book", 0.9);
+  for (int n = 0; n < 100; ++n) {
+    metrics.record(at(1000 + n), sample("book", n >= 20));
+  }
+  const auto first = metrics.report(at(1100)).Series.at(0);
+  CHECK(first.BurnShort == Approx(2));
+  CHECK(first.BurnLong == Approx(2));
+  CHECK(first.BudgetSpent == Approx(2));
+  CHECK(first.WorthOffered == 300);
+  CHECK(first.WorthServed == 240);
+  CHECK(first.LatencyMeanMs == Approx(28));
+  CHECK(first.LatencyQuantilesMs[0] == Approx(10).margin(5));
+  const auto later = metrics.report(at(1500)).Series.at(0);
+  CHECK(later.BurnShort == 0);
+  CHECK(later.BurnLong == Approx(2));
+  CHECK(metrics.report(at(6000)).Series.at(0).BurnLong == 0);
+}
+
+// Guards against memory that grows with the number of kinds.
+TEST_CASE("series are bounded and the rest is counted", "[metrics]") {
+  Metrics metrics{MetricsSettings()};
+  for (int n = 0; n < 3000; ++n) {
+    metrics.record(at(1), sample("kind" + std::to_string(n), true));
+  }
+  const auto report = metrics.report(at(1));
+  REQUIRE(report.Series.size() == MetricsSettings::MaxSeries);
+  CHECK(report.Series.back().Kind == "other");
+  CHECK(report.Series.back().Answered ==
+        3000 - (MetricsSettings::MaxSeries - 1));
+}
+
+// Guards against names that break the exported formats.
+TEST_CASE("exports escape names", "[metrics]") {
+  Metrics metrics{MetricsSettings()};
+  metrics.record(at(1), sample("a\"b\xff", true));
+  const auto report = metrics.report(at(1));
+  CHECK(toPrometheus(report).find("kind=\"a\\\"b") != std::string::npos);
+  CHECK(toJson(report).find("\"kind\":\"a\\\"b") != std::string::npos);
+}
