Test that a fault on a rare route is found

Cause: with only the series over all routes judged, no test failed. Ruled out: relying on the simulated route fault, since a fifth of the traffic shows in the sum as well.

--- a/tests/unit/move_controller_test.cpp
+++ b/tests/unit/move_controller_test.cpp
@@ -204,3 +204,15 @@
   CHECK(test.assess().Result != Verdict::Bad);
   CHECK(test.callsSinceRestart() == Approx(1000));
 }
+
+// Guards against a fault on a rare route that drowns in the good calls of the
+// others.
+TEST_CASE("one bad route is found among many good calls", "[move]") {
+  SequentialTest test{SequentialTestSettings()};
+  const KindCounts often{"/often", "a", 10000, 50, 0, 0, 0};
+  test.update({often, {"/rare", "b", 100, 0, 0, 0, 0}},
+              {often, {"/rare", "b", 40, 8, 0, 0, 0}});
+  const auto assessment = test.assess();
+  CHECK(assessment.Result == Verdict::Bad);
+  CHECK(assessment.Evidence.find("/rare") != std::string::npos);
+}
