--- /dev/null
+++ b/tests/unit/http_server_test.cpp
@@ -0,0 +1,122 @@
+#include "chivefold/io/http_server.h"
+
+#include "raw_socket.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <future>
+
+using namespace chivefold;
+
+namespace {
+
+struct ServerFixture {
+  Reactor Loop;
+  std::vector<std::shared_ptr<HttpExchange>> Held;
+  int Handled = 0;
+  bool Hold = false;
+  HttpServer Server{Loop,
+                    {"127.0.0.1", 0},
+                    [this](const std::shared_ptr<HttpExchange> &exchange) {
+                      ++Handled;
+                      if (Hold) {
+                        Held.push_back(exchange);
+                        return;
+                      }
+                      const auto &r = exchange->request();
+                      exchange->respond({200,
+                                         {{"Content-Length", "1"}},
+                                         r.Method + " " + r.Path + "?" +
+                                             r.Query + " " + r.Body});
+                    }};
+  ServerFixture() { REQUIRE(Server.start()); }
+
+  std::string exchange(const std::string &request) {
+    auto answer = std::async(std::launch::async, [&] {
+      const auto s = RawSocket::connectTo(Server.bound());
+      s.write(request);
+      return s.readAll();
+    });
+    runUntil(Loop, [&] {
+      return answer.wait_for(std::chrono::seconds(0)) ==
+             std::future_status::ready;
+    });
+    return answer.get();
+  }
+};
+
+std::string post(const std::string &headers, const std::string &body) {
+  return "POST /a%20b?c=d HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" +
+         headers + "\r\n" + body;
+}
+
+} // namespace
+
+// Guards against a response without a length, and a path or query that is
+// changed before it is passed on.
+TEST_CASE("a request is answered with a length", "[http_server]") {
+  ServerFixture f;
+  const auto answer = f.exchange(post("Content-Length: 4\r\n", "body"));
+  CHECK(answer.find("HTTP/1.1 200") == 0);
+  CHECK(answer.find("Content-Length: 20\r\n") != std::string::npos);
+  CHECK(answer.find("Content-Length: 1\r\n") == std::string::npos);
+  CHECK(answer.find("\r\n\r\nPOST /a%20b?c=d body") != std::string::npos);
+  CHECK(f.Server.openRequests() == 0);
+}
+
+// Guards against unbounded headers and bodies, declared or chunked.
+TEST_CASE("oversized requests are refused unhandled", "[http_server]") {
+  ServerFixture f;
+  CHECK(f.exchange(post("Content-Length: 1048577\r\n", ""))
+            .find("HTTP/1.1 413") == 0);
+  std::string chunks;
+  for (int i = 0; i < 17; ++i) {
+    chunks += "10000\r\n" + std::string(65536, 'x') + "\r\n";
+  }
+  CHECK(f.exchange(post("Transfer-Encoding: chunked\r\n", chunks + "0\r\n\r\n"))
+            .find("HTTP/1.1 413") == 0);
+  for (const std::size_t n : {17000U, 40000U}) {
+    CHECK(f.exchange(post("A: " + std::string(n, 'x') + "\r\n", ""))
+              .find("HTTP/1.1 431") == 0);
+  }
+  CHECK(f.Handled == 0);
+}
+
+// Guards against a request whose caller vanished and that is never reported,
+// and an answer to it that touches freed memory.
+TEST_CASE("a vanished caller is reported", "[http_server]") {
+  ServerFixture f;
+  f.Hold = true;
+  auto s = RawSocket::connectTo(f.Server.bound());
+  s.write(post("Content-Length: 0\r\n", ""));
+  REQUIRE(runUntil(f.Loop, [&] { return f.Held.size() == 1; }));
+  bool abandoned = false;
+  f.Held[0]->onAbandoned([&] { abandoned = true; });
+  CHECK(f.Server.openRequests() == 1);
+  s.reset();
+  CHECK(runUntil(f.Loop, [&] {
+    return abandoned && f.Server.openRequests() == 0;
+  }));
+  f.Held[0]->respond({200, {}, "late"});
+  f.Held.clear();
+}
+
+// Guards against a graceful stop that cuts off a running request or goes on
+// accepting, and against a dropped exchange that leaves its caller waiting.
+TEST_CASE("quiesce lets a running request finish", "[http_server]") {
+  ServerFixture f;
+  f.Hold = true;
+  const auto s = RawSocket::connectTo(f.Server.bound());
+  const auto other = RawSocket::connectTo(f.Server.bound());
+  s.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  other.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(runUntil(f.Loop, [&] { return f.Held.size() == 2; }));
+  f.Server.quiesce();
+  CHECK_THROWS(RawSocket::connectTo(f.Server.bound()));
+  f.Held[0]->respond({200, {}, "done"});
+  f.Held.clear();
+  CHECK(runUntil(f.Loop, [&] { return f.Server.openRequests() == 0; }));
+  const auto all = s.readAll() + other.readAll();
+  CHECK(all.find("\r\n\r\ndone") != std::string::npos);
+  CHECK(all.find("HTTP/1.1 503") != std::string::npos);
+}
--- /dev/null
+++ b/tests/unit/raw_socket.h
@@ -0,0 +1,115 @@
+/**
+ * @file
+ * Blocking loopback sockets for tests.
+ */
+#ifndef CHIVEFOLD_TESTS_RAW_SOCKET_H
+#define CHIVEFOLD_TESTS_RAW_SOCKET_H
+
+#include "chivefold/core/types.h"
+#include "chivefold/io/reactor.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace chivefold {
+
+/** A descriptor that is closed at the end. */
+class RawSocket {
+public:
+  explicit RawSocket(int fd) : Fd(fd) {}
+  RawSocket(RawSocket &&o) noexcept : Fd(o.Fd) { o.Fd = -1; }
+  ~RawSocket() { reset(); }
+  RawSocket(const RawSocket &) = delete;
+  RawSocket &operator=(const RawSocket &) = delete;
+  RawSocket &operator=(RawSocket &&) = delete;
+
+  static RawSocket connectTo(const Address &a) {
+    RawSocket s(socket(AF_INET, SOCK_STREAM, 0));
+    const auto name = nameOf(a.Port);
+    if (connect(s.Fd, reinterpret_cast<const sockaddr *>(&name),
+                sizeof(name)) != 0) {
+      throw std::runtime_error("connect failed");
+    }
+    return s;
+  }
+  static RawSocket listening() {
+    RawSocket s(socket(AF_INET, SOCK_STREAM, 0));
+    const auto name = nameOf(0);
+    if (bind(s.Fd, reinterpret_cast<const sockaddr *>(&name), sizeof(name)) !=
+            0 ||
+        listen(s.Fd, 16) != 0) {
+      throw std::runtime_error("listen failed");
+    }
+    return s;
+  }
+  RawSocket accepted() const { return RawSocket(accept(Fd, nullptr, nullptr)); }
+  Address address() const {
+    sockaddr_in name{};
+    socklen_t n = sizeof(name);
+    getsockname(Fd, reinterpret_cast<sockaddr *>(&name), &n);
+    return {"127.0.0.1", ntohs(name.sin_port)};
+  }
+  void write(std::string_view data) const {
+    while (!data.empty()) {
+      const auto n = send(Fd, data.data(), data.size(), MSG_NOSIGNAL);
+      if (n <= 0) {
+        return;
+      }
+      data.remove_prefix(static_cast<std::size_t>(n));
+    }
+  }
+  /** Reads until @p text was seen or the peer closed the connection. */
+  std::string readUntil(std::string_view text) const {
+    std::string all;
+    std::array<char, 65536> buf{};
+    while (text.empty() || all.find(text) == std::string::npos) {
+      const auto n = recv(Fd, buf.data(), buf.size(), 0);
+      if (n <= 0) {
+        break;
+      }
+      all.append(buf.data(), static_cast<std::size_t>(n));
+    }
+    return all;
+  }
+  std::string readAll() const { return readUntil(""); }
+  void reset() {
+    if (Fd >= 0) {
+      close(Fd);
+    }
+    Fd = -1;
+  }
+
+private:
+  static sockaddr_in nameOf(std::uint16_t port) {
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(port);
+    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return name;
+  }
+  int Fd;
+};
+
+/** Runs the loop until @p done holds; a watchdog ends it. */
+template <class Condition> bool runUntil(Reactor &reactor, Condition done) {
+  const auto end = reactor.now() + std::chrono::seconds(20);
+  std::function<void()> check = [&] {
+    if (done() || reactor.now() > end) {
+      reactor.stop();
+    } else {
+      reactor.schedule(reactor.now() + std::chrono::milliseconds(1), check);
+    }
+  };
+  reactor.schedule(reactor.now(), check);
+  reactor.run();
+  return done();
+}
+
+} // namespace chivefold
+
+#endif
--- a/tests/unit/reactor_test.cpp
+++ b/tests/unit/reactor_test.cpp
@@ -40,7 +40,16 @@
   });
   reactor.run();
   CHECK(seen == 1);
-  std::thread other([&] { reactor.stop(); });
+  bool late = false;
+  reactor.schedule(reactor.now() + std::chrono::seconds(20), [&] {
+    late = true;
+    reactor.stop();
+  });
+  std::thread other([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    reactor.stop();
+  });
   reactor.run();
   other.join();
+  CHECK_FALSE(late);
 }
