--- a/include/chivefold/io/http_client.h
+++ b/include/chivefold/io/http_client.h
@@ -30,6 +30,8 @@
    * work twice, so such calls set this.
    */
   bool FreshConnection = false;
+  /** A response with a larger body fails with TooLarge. */
+  std::size_t MaxResponseBytes = HttpLimits::MaxBodyBytes;
 };
 
 /** How a call ended. */
--- /dev/null
+++ b/tests/unit/http_client_test.cpp
@@ -0,0 +1,138 @@
+#include "chivefold/io/http_client.h"
+
+#include "raw_socket.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace chivefold;
+
+namespace {
+
+struct ClientFixture {
+  Reactor Loop;
+  RawSocket Listener = RawSocket::listening();
+  std::unique_ptr<HttpClient> Client = std::make_unique<HttpClient>(Loop, 2);
+
+  HttpCall call(bool fresh = false) {
+    HttpCall c;
+    c.Method = "POST";
+    c.Url = "http://" + toString(Listener.address()) + "/x";
+    c.Body = "work";
+    c.Deadline = Loop.now() + std::chrono::seconds(20);
+    c.FreshConnection = fresh;
+    return c;
+  }
+
+  HttpOutcome finish(HttpCall c) {
+    std::optional<HttpOutcome> out;
+    Client->start(std::move(c), [&](HttpOutcome o) { out = std::move(o); });
+    CHECK_FALSE(out.has_value());
+    REQUIRE(runUntil(Loop, [&] { return out.has_value(); }));
+    return std::move(*out);
+  }
+
+  // Answers one request on a new connection with raw bytes.
+  HttpOutcome finishWith(const std::string &raw) {
+    std::thread server([&] {
+      const auto s = Listener.accepted();
+      s.readUntil("work");
+      s.write(raw);
+    });
+    auto out = finish(call());
+    server.join();
+    return out;
+  }
+};
+
+const std::string Ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+// Guards against a cut-off or unbounded response that is taken as complete,
+// and against a redirect that is followed.
+TEST_CASE("only complete responses are returned", "[http_client]") {
+  ClientFixture f;
+  auto out = f.finishWith("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart");
+  CHECK(out.Response.reason().Code == ErrorCode::ConnectionFailed);
+  CHECK(out.MayHaveRun);
+  out = f.finishWith(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n");
+  CHECK(out.Response.reason().Code == ErrorCode::ConnectionFailed);
+  out = f.finishWith("HTTP/1.1 200 OK\r\n\r\npart");
+  CHECK(out.Response.reason().Code == ErrorCode::ConnectionFailed);
+  out = f.finishWith("HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\n" +
+                     std::string((1U << 20U) + 1, 'x'));
+  CHECK(out.Response.reason().Code == ErrorCode::TooLarge);
+  out = f.finishWith("HTTP/1.1 302 F\r\nLocation: /y\r\nContent-Length: 0\r\n"
+                     "A: b\r\n\r\n");
+  REQUIRE(out.Response);
+  CHECK(out.Response->Status == 302);
+  CHECK(headerValue(out.Response->Headers, "a") == "b");
+}
+
+// Guards against "not run" for a request that may have run, and "may have
+// run" when nothing listens.
+TEST_CASE("a call that was not sent has not run", "[http_client]") {
+  ClientFixture f;
+  auto bad = f.call();
+  bad.Headers = {{"A", "b\r\nC: d"}};
+  auto out = f.finish(bad);
+  CHECK(out.Response.reason().Code == ErrorCode::InvalidArgument);
+  CHECK_FALSE(out.MayHaveRun);
+
+  auto sent = f.call();
+  sent.Deadline = f.Loop.now() + std::chrono::milliseconds(300);
+  const auto id1 = f.Client->start(f.call(), [](const HttpOutcome &) {});
+  std::optional<HttpOutcome> first;
+  f.Client->start(sent, [&](HttpOutcome o) { first = std::move(o); });
+  // Both connections are in use, so this one stays in the queue.
+  out = f.finish(sent);
+  CHECK(out.Response.reason().Code == ErrorCode::DeadlineExceeded);
+  CHECK_FALSE(out.MayHaveRun);
+  REQUIRE(runUntil(f.Loop, [&] { return first.has_value(); }));
+  CHECK(first->Response.reason().Code == ErrorCode::DeadlineExceeded);
+  CHECK(first->MayHaveRun);
+  f.Client->cancel(id1);
+
+  const auto refused = f.call();
+  f.Listener.reset();
+  out = f.finish(refused);
+  CHECK(out.Response.reason().Code == ErrorCode::ConnectionFailed);
+  CHECK_FALSE(out.MayHaveRun);
+}
+
+// Guards against libcurl's own repetition of a request whose reused connection
+// was closed: the second connection receives the request again unless the call
+// asks for a fresh connection.
+TEST_CASE("a fresh connection sends a request once", "[http_client]") {
+  for (const bool fresh : {true, false}) {
+    ClientFixture f;
+    std::atomic<int> arrived{0};
+    const auto receive = [&](const RawSocket &s) {
+      arrived += s.readUntil("work").empty() ? 0 : 1;
+    };
+    // The first connection answers one request and stays open for reuse; any
+    // further request on it or on the second connection is read, and the
+    // connection is closed without a response.
+    std::thread server([&] {
+      auto s = f.Listener.accepted();
+      receive(s);
+      s.write(Ok);
+      std::thread reused([&] {
+        receive(s);
+        s.reset();
+      });
+      receive(f.Listener.accepted());
+      reused.join();
+    });
+    REQUIRE(f.finish(f.call()).Response);
+    const auto out = f.finish(f.call(fresh));
+    CHECK(out.Response.reason().Code == ErrorCode::ConnectionFailed);
+    CHECK(out.MayHaveRun);
+    f.Client.reset();
+    server.join();
+    CHECK(arrived == (fresh ? 2 : 3));
+  }
+}
