Earn retry tokens once per answered call

Cause: CallPolicy earns a token for each answer and CallRunner earned another. Found by reading; the retry limit would have been twice the stated 10%. Conclusion: only the policy earns.

--- a/src/daemon/call_runner.cpp
+++ b/src/daemon/call_runner.cpp
@@ -169,7 +169,6 @@
   const auto latency = now - call.SentAt;
   if (result.Result == Outcome::Answered && result.Status < 500) {
     Routes.answered(call.Server, latency, result.Gate, now);
-    Tokens.earn();
   } else if (result.Result == Outcome::NotRun &&
              result.Code != ErrorCode::ConnectionFailed) {
     Routes.refused(call.Server, result.Gate, result.RetryAfter, now);
