Add the peer network

Cause: daemons exchange calls and state over few connections. Ruled out: one connection per request; a size-prefixed FlatBuffer, whose alignment holds only with its prefix, so received frames are copied to aligned memory. Silence is judged after a last read, since a paused process finds its answers there. Conclusion: answers are matched on their link by request id.

--- a/src/io/descriptor_watch.h
+++ b/src/io/descriptor_watch.h
@@ -25,6 +25,9 @@
 
   /** Replaces the watched events. @return false if the reactor refuses. */
   bool watch(ACE_Reactor_Mask mask) {
+    if (mask == Mask) {
+      return true;
+    }
     if (Mask != NULL_MASK) {
       reactor()->remove_handler(Fd, ALL_EVENTS_MASK | DONT_CALL);
     }
--- /dev/null
+++ b/src/io/peer_network.cpp
@@ -0,0 +1,393 @@
+#include "chivefold/io/peer_network.h"
+
+#include "peer_link.h"
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Acceptor.h>
+#include <array>
+#include <sys/socket.h>
+
+namespace chivefold {
+
+namespace {
+
+// Links accepted in one turn of the loop.
+constexpr int MaxAccepts = 64;
+constexpr int Backlog = 1024;
+
+Address addressOf(const ACE_INET_Addr &a) {
+  std::array<char, 64> buf{};
+  a.get_host_addr(buf.data(), buf.size());
+  return {buf.data(), a.get_port_number()};
+}
+
+} // namespace
+
+struct PeerNetwork::Impl : PeerLinkOwner {
+  struct Request {
+    std::shared_ptr<PeerLink> Link;
+    Callback Done;
+    TimerId Timer = TimerId::None;
+  };
+
+  Impl(Reactor &r, Address listen, PeerHandler handler)
+      : Loop(r), Listen(std::move(listen)), Handler(std::move(handler)) {}
+  ~Impl() override;
+  Impl(const Impl &) = delete;
+  Impl &operator=(const Impl &) = delete;
+
+  Status start();
+  void quiesce();
+  void acceptLinks();
+  std::shared_ptr<PeerLink> linkTo(const Address &to);
+  bool makeRoom();
+  void touch(PeerLink &link) { link.LastUse = ++Uses; }
+  void discard(const std::shared_ptr<PeerLink> &link);
+
+  std::uint64_t request(const Address &to, wire::FrameBodyUnion body,
+                        TimePoint deadline, Callback done);
+  void refuse(std::uint64_t id, Reason reason);
+  void expire(std::uint64_t id);
+  bool forget(std::uint64_t id, bool tellPeer);
+  void finish(std::uint64_t id, PeerOutcome outcome);
+
+  void onFrame(PeerLink &link, wire::FrameT &frame) override;
+  void onAnswer(PeerLink &link, wire::FrameT &frame);
+  void onRequest(PeerLink &link, wire::FrameT &frame);
+  void onBroken(PeerLink &link, const Reason &reason) override;
+  void cancelled(std::uint64_t token);
+  static void respond(const std::weak_ptr<PeerLink> &link, std::uint64_t id,
+                      std::uint64_t token, wire::FrameBodyUnion body);
+
+  Reactor &Loop;
+  Address Listen;
+  PeerHandler Handler;
+  ACE_SOCK_Acceptor Acceptor;
+  std::unique_ptr<DescriptorWatch> Watch;
+  std::unordered_map<PeerLink *, std::shared_ptr<PeerLink>> Links;
+  std::unordered_map<Address, PeerLink *> Outbound;
+  std::unordered_map<std::uint64_t, Request> Requests;
+  std::function<void(std::uint64_t)> CancelTask;
+  std::uint64_t NextRequest = 0;
+  std::uint64_t NextToken = 0;
+  std::uint64_t CurrentToken = 0;
+  std::uint64_t Uses = 0;
+};
+
+PeerNetwork::Impl::~Impl() {
+  quiesce();
+  for (const auto &it : Requests) {
+    Loop.cancel(it.second.Timer);
+  }
+  for (const auto &it : Links) {
+    it.second->close();
+  }
+}
+
+Status PeerNetwork::Impl::start() {
+  ACE_INET_Addr local;
+  if (local.set(Listen.Port, Listen.Ip.c_str()) != 0) {
+    return Reason{ErrorCode::InvalidArgument, "not an IP address"};
+  }
+  if (Acceptor.open(local, 1, PF_UNSPEC, Backlog) != 0) {
+    return Reason{ErrorCode::ConnectionFailed,
+                  "cannot listen on " + toString(Listen)};
+  }
+  Acceptor.enable(ACE_NONBLOCK);
+  Acceptor.get_local_addr(local);
+  Listen.Port = local.get_port_number();
+  Watch = std::make_unique<DescriptorWatch>(
+      Loop.ace(), Acceptor.get_handle(),
+      [this](ACE_Reactor_Mask /*mask*/) { acceptLinks(); });
+  if (!Watch->watch(ACE_Event_Handler::READ_MASK)) {
+    return Reason{ErrorCode::ConnectionFailed, "too many descriptors"};
+  }
+  return Done{};
+}
+
+void PeerNetwork::Impl::quiesce() {
+  if (Watch) {
+    Watch->watch(ACE_Event_Handler::NULL_MASK);
+    Acceptor.close();
+  }
+}
+
+void PeerNetwork::Impl::acceptLinks() {
+  for (int i = 0; i < MaxAccepts; ++i) {
+    ACE_SOCK_Stream stream;
+    ACE_INET_Addr from;
+    if (Acceptor.accept(stream, &from, nullptr, false) != 0) {
+      return;
+    }
+    if (!makeRoom()) {
+      stream.close();
+      continue;
+    }
+    auto link =
+        std::make_shared<PeerLink>(Loop, *this, addressOf(from), true);
+    touch(*link);
+    Links.emplace(link.get(), link);
+    link->accept(stream);
+  }
+}
+
+// Closes the least recently used idle link if there are too many. Links that
+// this side opened go first: the peer may be sending a request on another.
+bool PeerNetwork::Impl::makeRoom() {
+  if (Links.size() < PeerLimits::MaxLinks) {
+    return true;
+  }
+  std::shared_ptr<PeerLink> oldest;
+  for (const auto &it : Links) {
+    const auto &link = it.second;
+    const auto rank = std::make_pair(link->inbound(), link->LastUse);
+    if (link->idle() &&
+        (!oldest ||
+         rank < std::make_pair(oldest->inbound(), oldest->LastUse))) {
+      oldest = link;
+    }
+  }
+  if (!oldest) {
+    return false;
+  }
+  oldest->close();
+  discard(oldest);
+  return true;
+}
+
+// Frees a closed link in the next turn: it may be on the call stack.
+void PeerNetwork::Impl::discard(const std::shared_ptr<PeerLink> &link) {
+  const auto it = Outbound.find(link->peer());
+  if (it != Outbound.end() && it->second == link.get()) {
+    Outbound.erase(it);
+  }
+  Links.erase(link.get());
+  Loop.schedule(Loop.now(), [link] {});
+}
+
+std::shared_ptr<PeerLink> PeerNetwork::Impl::linkTo(const Address &to) {
+  const auto it = Outbound.find(to);
+  if (it != Outbound.end()) {
+    return Links.at(it->second);
+  }
+  if (!makeRoom()) {
+    return nullptr;
+  }
+  auto link = std::make_shared<PeerLink>(Loop, *this, to, false);
+  Links.emplace(link.get(), link);
+  Outbound.emplace(to, link.get());
+  link->connect();
+  return link;
+}
+
+std::uint64_t PeerNetwork::Impl::request(const Address &to,
+                                         wire::FrameBodyUnion body,
+                                         TimePoint deadline, Callback done) {
+  const auto id = ++NextRequest;
+  Requests[id].Done = std::move(done);
+  auto frame = encodeFrame(id, std::move(body));
+  if (frame.empty()) {
+    refuse(id, {ErrorCode::InvalidRecord, "frame too large"});
+    return id;
+  }
+  auto link = linkTo(to);
+  if (!link) {
+    refuse(id, {ErrorCode::Overloaded, "too many links are in use"});
+    return id;
+  }
+  touch(*link);
+  if (!link->enqueue(std::move(frame), id)) {
+    refuse(id, {ErrorCode::Overloaded, "too many bytes wait on the link"});
+    return id;
+  }
+  link->Outstanding.insert(id);
+  link->watchSilence();
+  auto &entry = Requests[id];
+  entry.Link = std::move(link);
+  entry.Timer = Loop.schedule(deadline, [this, id] { expire(id); });
+  return id;
+}
+
+void PeerNetwork::Impl::refuse(std::uint64_t id, Reason reason) {
+  Requests[id].Timer =
+      Loop.schedule(Loop.now(), [this, id, reason = std::move(reason)] {
+        finish(id, {nullptr, reason, false});
+      });
+}
+
+void PeerNetwork::Impl::expire(std::uint64_t id) {
+  const auto it = Requests.find(id);
+  if (it != Requests.end()) {
+    const auto done = std::move(it->second.Done);
+    const bool withdrawn = forget(id, true);
+    done({nullptr,
+          {ErrorCode::DeadlineExceeded, "deadline passed"},
+          !withdrawn});
+  }
+}
+
+// Drops a request. @return true if none of its bytes was written.
+bool PeerNetwork::Impl::forget(std::uint64_t id, bool tellPeer) {
+  const auto it = Requests.find(id);
+  if (it == Requests.end()) {
+    return true;
+  }
+  const auto link = it->second.Link;
+  Loop.cancel(it->second.Timer);
+  Requests.erase(it);
+  if (!link) {
+    return true;
+  }
+  link->Outstanding.erase(id);
+  const bool withdrawn = link->withdraw(id);
+  if (!withdrawn && tellPeer) {
+    wire::FrameBodyUnion body;
+    wire::CallCancelT cancel;
+    cancel.call_id = id;
+    body.Set(std::move(cancel));
+    link->enqueue(encodeFrame(0, std::move(body)), 0);
+  }
+  return withdrawn;
+}
+
+void PeerNetwork::Impl::finish(std::uint64_t id, PeerOutcome outcome) {
+  const auto it = Requests.find(id);
+  if (it != Requests.end()) {
+    const auto done = std::move(it->second.Done);
+    forget(id, false);
+    done(std::move(outcome));
+  }
+}
+
+void PeerNetwork::Impl::onFrame(PeerLink &link, wire::FrameT &frame) {
+  touch(link);
+  if (const auto *cancel = frame.body.AsCallCancel()) {
+    const auto it = link.Served.find(cancel->call_id);
+    if (it != link.Served.end()) {
+      const auto token = it->second;
+      link.Served.erase(it);
+      cancelled(token);
+    }
+  } else if (frame.request_id == 0) {
+    Handler(link.peer(), frame.body, nullptr);
+  } else if (link.inbound()) {
+    onRequest(link, frame);
+  } else {
+    onAnswer(link, frame);
+  }
+}
+
+// An answer counts only on the link that carried its request; one that comes
+// after the request ended finds no entry.
+void PeerNetwork::Impl::onAnswer(PeerLink &link, wire::FrameT &frame) {
+  if (link.Outstanding.count(frame.request_id) == 0) {
+    return;
+  }
+  PeerOutcome outcome;
+  outcome.Answer =
+      std::make_unique<wire::FrameBodyUnion>(std::move(frame.body));
+  finish(frame.request_id, std::move(outcome));
+}
+
+void PeerNetwork::Impl::onRequest(PeerLink &link, wire::FrameT &frame) {
+  const auto id = frame.request_id;
+  const auto token = ++NextToken;
+  if (link.Served.size() >= PeerLink::MaxServed ||
+      !link.Served.emplace(id, token).second) {
+    link.failLater({ErrorCode::InvalidRecord, "repeated or excess request"});
+    return;
+  }
+  link.watchSilence();
+  const std::weak_ptr<PeerLink> weak = Links.at(&link);
+  CurrentToken = token;
+  Handler(link.peer(), frame.body,
+          [weak, id, token](wire::FrameBodyUnion body) {
+            respond(weak, id, token, std::move(body));
+          });
+  CurrentToken = 0;
+}
+
+void PeerNetwork::Impl::respond(const std::weak_ptr<PeerLink> &link,
+                                std::uint64_t id, std::uint64_t token,
+                                wire::FrameBodyUnion body) {
+  const auto open = link.lock();
+  if (!open) {
+    return;
+  }
+  const auto it = open->Served.find(id);
+  if (it == open->Served.end() || it->second != token) {
+    return;
+  }
+  open->Served.erase(it);
+  auto frame = encodeFrame(id, std::move(body));
+  if (frame.empty() || !open->enqueue(std::move(frame), 0)) {
+    open->failLater({ErrorCode::Overloaded, "cannot send an answer"});
+  }
+}
+
+void PeerNetwork::Impl::onBroken(PeerLink &link, const Reason &reason) {
+  const auto kept = Links.at(&link);
+  discard(kept);
+  const auto outstanding = std::move(link.Outstanding);
+  link.Outstanding.clear();
+  const auto served = std::move(link.Served);
+  link.Served.clear();
+  for (const auto id : outstanding) {
+    const bool withdrawn = link.withdraw(id);
+    finish(id, {nullptr, reason, !withdrawn});
+  }
+  for (const auto &it : served) {
+    cancelled(it.second);
+  }
+}
+
+void PeerNetwork::Impl::cancelled(std::uint64_t token) {
+  if (CancelTask) {
+    CancelTask(token);
+  }
+}
+
+PeerNetwork::PeerNetwork(Reactor &reactor, Address listen, PeerHandler handler)
+    : State(std::make_unique<Impl>(reactor, std::move(listen),
+                                   std::move(handler))) {}
+
+PeerNetwork::~PeerNetwork() = default;
+
+Status PeerNetwork::start() { return State->start(); }
+
+Address PeerNetwork::bound() const { return State->Listen; }
+
+void PeerNetwork::quiesce() { State->quiesce(); }
+
+PeerRequestId PeerNetwork::request(const Address &to, wire::FrameBodyUnion body,
+                                   TimePoint deadline, Callback done) {
+  return static_cast<PeerRequestId>(
+      State->request(to, std::move(body), deadline, std::move(done)));
+}
+
+void PeerNetwork::send(const Address &to, wire::FrameBodyUnion body) {
+  auto frame = encodeFrame(0, std::move(body));
+  const auto link = frame.empty() ? nullptr : State->linkTo(to);
+  if (link) {
+    State->touch(*link);
+    link->enqueue(std::move(frame), 0);
+  }
+}
+
+void PeerNetwork::cancel(PeerRequestId id) {
+  State->forget(static_cast<std::uint64_t>(id), true);
+}
+
+void PeerNetwork::onCancel(std::function<void(std::uint64_t token)> task) {
+  State->CancelTask = std::move(task);
+}
+
+std::uint64_t PeerNetwork::requestToken() const { return State->CurrentToken; }
+
+std::uint64_t PeerNetwork::bytesSent() const { return State->BytesSent; }
+
+std::uint64_t PeerNetwork::bytesReceived() const {
+  return State->BytesReceived;
+}
+
+} // namespace chivefold
--- a/tests/unit/raw_socket.h
+++ b/tests/unit/raw_socket.h
@@ -10,10 +10,12 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <cerrno>
 #include <stdexcept>
 #include <string>
 #include <string_view>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 namespace chivefold {
@@ -77,6 +79,15 @@
     return all;
   }
   std::string readAll() const { return readUntil(""); }
+  void setReceiveTimeout(timeval limit) const {
+    setsockopt(Fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  }
+  /** @return whether the peer closed the connection. */
+  bool atEnd() const {
+    char byte = 0;
+    const auto n = recv(Fd, &byte, 1, MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno == ECONNRESET);
+  }
   void reset() {
     if (Fd >= 0) {
       close(Fd);
