--- /dev/null
+++ b/tests/unit/logging_test.cpp
@@ -0,0 +1,44 @@
+#include "chivefold/io/logging.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <unistd.h>
+
+using namespace chivefold;
+
+// Guards against a log flooded by one repeated message, a value that forges a
+// line, and a level that cannot be changed at runtime.
+TEST_CASE("log lines are bounded, escaped and filtered", "[logging]") {
+  initLogging(LogLevel::Info);
+  std::FILE *captured = std::tmpfile();
+  REQUIRE(captured != nullptr);
+  const int saved = dup(STDERR_FILENO);
+  dup2(fileno(captured), STDERR_FILENO);
+
+  std::uint64_t now = 1;
+  Logger logger("gate", [&now] { return now; });
+  logger.debug("hidden");
+  const bool known = setLogLevel("debug").hasValue();
+  const bool unknown = setLogLevel("loud").hasValue();
+  logger.debug("shown", {{"port", 80}, {"why", "a\n\"b\""}});
+  for (std::uint64_t i = 0; i < 25; ++i) {
+    logger.warn("repeated", {{"n", i}});
+  }
+  now = 2;
+  logger.warn("repeated");
+  dup2(saved, STDERR_FILENO);
+  close(saved);
+
+  std::string text(4096, ' ');
+  std::rewind(captured);
+  text.resize(std::fread(text.data(), 1, text.size(), captured));
+  std::fclose(captured);
+  CHECK(known);
+  CHECK_FALSE(unknown);
+  CHECK(std::count(text.begin(), text.end(), '\n') == 12);
+  CHECK(text.find("DEBUG gate: shown port=80 why=\"a\\x0a\\\"b\\\"\"\n") !=
+        std::string::npos);
+  CHECK(text.find(" WARN gate: repeated n=9\n") != std::string::npos);
+  CHECK(text.find("WARN gate: repeated suppressed=15\n") != std::string::npos);
+}
