Implement gate, router, call policy, claim and poison tables

Cause: the request path had interfaces only. Ruled out: a limit window that counts calls started under the previous limit (a slowly warming server was loaded to 1.01 of its bound; counting only calls of the current limit keeps it at or under 1.00 in 100 generated servers); a router that keeps old latencies (a recovered server got 2 of 3,000 calls; observations now fade after four half-lives); a fixed retry ratio per level (1.1^8 = 2.1 calls at the deepest level). Figures: 8 failing levels make 1.08 deepest calls per call with the budget over 1,000 calls, 65,536 with three blind retries (unit test). Each test was seen failing against a fault put in on purpose: 30 faults, all caught. Two of them were missed at first (errors without penalty; the claim property did not reach a run because its check inserted into its own model), and their tests were mended. Conclusion: unit tests pass, also with sanitizers.

--- a/include/chivefold/core/claim_table.h
+++ b/include/chivefold/core/claim_table.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -156,31 +157,43 @@
     Answered,
     Unknown
   };
+  struct Waiting {
+    WaiterId Id = WaiterId::None;
+    std::uint64_t BodyDigest = 0;
+  };
   struct Entry {
     Phase State = Phase::Pending;
     std::uint64_t BodyDigest = 0;
     bool AttemptMayHaveRun = false;
-    std::vector<WaiterId> Waiters;
+    std::vector<Waiting> Waiters;
     std::shared_ptr<const StoredResponse> Response;
     std::list<KeyHash>::iterator Age;
   };
 
-  ClaimEffect join(Entry &entry, std::uint64_t bodyDigest, WaiterId waiter);
-  ClaimEffect resume(Entry &entry, const KeyHash &key, std::uint64_t bodyDigest,
-                     ClaimHolder holder, WaiterId waiter);
+  ClaimEffect join(Entry &entry, const Waiting &waiter) const;
+  ClaimEffect claim(Entry &entry, const KeyHash &key, const Waiting &waiter);
+  ClaimEffect resume(Entry &entry, const KeyHash &key, ClaimHolder holder,
+                     const Waiting &waiter);
   bool makeRoom();
-  void evictResponses();
+  void store(Entry &entry, const KeyHash &key,
+             std::shared_ptr<const StoredResponse> response);
+  void dropResponse(Entry &entry);
   void erase(const KeyHash &key);
-  std::vector<ClaimEffect> release(Entry &entry, ClaimAction action);
+  static std::vector<ClaimEffect>
+  release(Entry &entry, ClaimAction action,
+          const std::shared_ptr<const StoredResponse> &response = nullptr);
 
   ClaimLimits Limits;
   std::unordered_map<KeyHash, Entry> Entries;
   /** All keys, oldest first. */
   std::list<KeyHash> Ages;
-  /** Keys with a stored response, oldest first; may name evicted ones. */
+  /** Keys with a stored response, oldest first; at most one per response
+   * stored, but may name evicted ones until they reach the front. */
   std::deque<KeyHash> Responses;
   std::size_t ResponseCount = 0;
   std::size_t ResponseBytes = 0;
+  /** Keys that want a claim; at most twice MaxEntries, beyond it new keys get
+   * "outcome unknown". */
   std::deque<KeyHash> ToAppend;
   std::vector<KeyHash> InAppend;
 };
--- a/include/chivefold/core/gate.h
+++ b/include/chivefold/core/gate.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -153,12 +154,14 @@
   static constexpr std::size_t MaxLevels = 64;
 
   Admission enqueue(const GateRequest &request, TimePoint now);
+  Admission reject(ErrorCode code, std::size_t ahead) const;
+  GateRequestId dropLast();
   std::vector<GateRequestId> runQueued(TimePoint now);
   void learn(ServerResult result, double latency, TimePoint now);
+  void learnLatency(double latency);
+  void connectionFailed(TimePoint now);
   void judgeWindow();
-  void turnCold();
   void setLimit(std::uint32_t limit);
-  std::size_t level() const;
   double baseline() const;
   void updateBaseline(double mean);
   Duration retryAfter(std::size_t ahead) const;
@@ -174,8 +177,8 @@
   /** Bounded by Limits.Slots. */
   std::unordered_map<GateRequestId, std::uint64_t> Running;
   std::uint64_t NextSequence = 1;
-  /** Requests started before this sequence number say nothing about the
-   * current limit, since they ran beside those of a larger one. */
+  /** Requests started before this sequence number ran under another limit
+   * and say nothing about the current one. */
   std::uint64_t LimitSince = 0;
   Window Current;
   /** Low latency in microseconds per limit level; 0 means "not known". */
--- a/include/chivefold/core/router.h
+++ b/include/chivefold/core/router.h
@@ -121,6 +121,7 @@
     std::uint32_t InFlight = 0;
     /** Smoothed latency in microseconds; 0 before the first answer. */
     double Latency = 0;
+    TimePoint LatencyAt{};
     /** Smoothed share of failures and refusals, 0 to 1, as of ErrorsAt. */
     double Errors = 0;
     TimePoint ErrorsAt{};
@@ -140,6 +141,9 @@
   };
   struct ServiceState {
     VersionSplit Split;
+    bool HasSplit = false;
+    /** All servers of the service, as indexes into Servers. */
+    std::vector<std::uint32_t> Members;
     Pool Current;
     Pool Next;
     /** Low-discrepancy accumulator; a call goes to Next when it reaches
@@ -154,21 +158,27 @@
   };
 
   Server *find(const Address &peer);
-  ServiceState *serviceOf(const Server &server);
-  void rebuild(const std::string &service);
-  bool usable(const Server &server, const std::vector<Address> &tried,
-              TimePoint now) const;
+  ServiceState &stateOf(const Server &server);
+  void attach(std::uint32_t index);
+  void detach(std::uint32_t index);
+  void rebuild(ServiceState &service);
+  bool takenOut(const std::string &dataCentre) const;
+  static bool usable(const Server &server, const std::vector<Address> &tried,
+                     TimePoint now);
   double score(const Server &server, const ServiceState &service,
                TimePoint now) const;
+  double latencyAt(const Server &server, const ServiceState &service,
+                   TimePoint now) const;
   double errorsAt(const Server &server, TimePoint now) const;
-  void addError(Server &server, double weight, double sample, TimePoint now);
-  void learnGate(Server &server, const GateState &gate, TimePoint now);
+  void addError(Server &server, double weight, TimePoint now);
+  void addLatency(Server &server, double latency, TimePoint now);
+  static void learnGate(Server &server, const GateState &gate, TimePoint now);
   Pick pickFrom(const std::vector<std::uint32_t> &pool,
                 const ServiceState &service, const std::vector<Address> &tried,
                 TimePoint now);
   Server *pickPool(Pool &pool, const ServiceState &service,
                    const std::vector<Address> &tried, TimePoint now);
-  bool drawNext(ServiceState &service, bool firstAttempt);
+  static bool drawNext(ServiceState &service, bool firstAttempt);
   Duration earliest(const Pool &pool, TimePoint now) const;
 
   std::mt19937_64 Random;
--- /dev/null
+++ b/tests/unit/poison_table_test.cpp
@@ -0,0 +1,65 @@
+#include "chivefold/core/poison_table.h"
+
+#include <catch2/catch.hpp>
+
+using namespace chivefold;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint T0{};
+constexpr auto Poison = static_cast<RequestDigest>(1);
+constexpr auto Innocent = static_cast<RequestDigest>(2);
+const Address First{"127.0.0.1", 1};
+const Address Second{"127.0.0.1", 2};
+
+} // namespace
+
+// Guards against a request that crashes server after server, and against
+// quarantine of requests that only ran beside it.
+TEST_CASE("two deaths quarantine, one success clears a neighbour", "[poison]") {
+  PoisonTable table;
+  CHECK(table.serverDied(First, {Poison, Innocent}, T0).size() == 2);
+  CHECK_FALSE(table.quarantined(Poison, T0));
+  table.succeeded(Innocent, T0);
+  CHECK(table.serverDied(Second, {Poison, Innocent}, T0 + 1s).size() == 2);
+  CHECK(table.quarantined(Poison, T0 + 1s) == 10min);
+  CHECK_FALSE(table.quarantined(Innocent, T0 + 1s));
+  table.succeeded(Poison, T0 + 2s);
+  CHECK(table.quarantined(Poison, T0 + 10min));
+  CHECK_FALSE(table.quarantined(Poison, T0 + 10min + 1s));
+}
+
+// Guards against quarantine by one server that dies repeatedly, and by deaths
+// that are far apart.
+TEST_CASE("the deaths are of different servers and recent", "[poison]") {
+  PoisonTable table;
+  table.serverDied(First, {Poison}, T0);
+  CHECK(table.serverDied(First, {Poison}, T0 + 1s).empty());
+  CHECK_FALSE(table.quarantined(Poison, T0 + 1s));
+  table.serverDied(Second, {Poison}, T0 + 11min);
+  CHECK_FALSE(table.quarantined(Poison, T0 + 11min));
+}
+
+// Guards against deaths that are seen by different daemons and never add up,
+// and against steps that circulate forever.
+TEST_CASE("steps of other daemons merge once", "[poison]") {
+  PoisonTable table;
+  table.serverDied(First, {Poison}, T0);
+  const PoisonStep step{Poison, Second, 4min};
+  CHECK(table.merge(step, T0 + 5min));
+  CHECK_FALSE(table.merge(step, T0 + 5min));
+  CHECK(table.quarantined(Poison, T0 + 5min) == 6min);
+  CHECK_FALSE(table.merge({Innocent, Second, 10min}, T0));
+}
+
+// Guards against unbounded memory when many servers die.
+TEST_CASE("the oldest digest is evicted at the bound", "[poison]") {
+  PoisonTable table;
+  for (std::uint64_t n = 0; n <= PoisonTable::MaxDigests; ++n) {
+    table.serverDied(First, {static_cast<RequestDigest>(n)}, T0);
+  }
+  CHECK(table.size() == PoisonTable::MaxDigests);
+  table.serverDied(Second, {static_cast<RequestDigest>(0)}, T0);
+  CHECK_FALSE(table.quarantined(static_cast<RequestDigest>(0), T0));
+}
