Make the daemon link and run

Cause: chivefoldd did not link, since two conversions of addresses had the same signature in the core and in the daemon. Conclusion: the daemon's conversion is addressToWire().

--- a/include/chivefold/daemon/wire_convert.h
+++ b/include/chivefold/daemon/wire_convert.h
@@ -17,7 +17,7 @@
 namespace chivefold {
 
 /** @return @p address for a frame. Thread-safe. */
-std::unique_ptr<wire::PeerAddressT> toWire(const Address &address);
+std::unique_ptr<wire::PeerAddressT> addressToWire(const Address &address);
 
 /** @return the address, or nothing if it is not an IP number with a port. Thread-safe. */
 std::optional<Address> fromWire(const wire::PeerAddressT *address);
--- a/src/daemon/membership_service.cpp
+++ b/src/daemon/membership_service.cpp
@@ -85,7 +85,7 @@
   probe->Outstanding = helpers.size();
   for (const auto &it : helpers) {
     wire::PingRequestT request;
-    request.target = toWire(target);
+    request.target = addressToWire(target);
     Network.request(it, frameBody(std::move(request)),
                     Loop.now() + 2 * ProbeTimeout,
                     [this, probe](const PeerOutcome &outcome) {
--- a/src/daemon/wire_convert.cpp
+++ b/src/daemon/wire_convert.cpp
@@ -2,7 +2,7 @@
 
 namespace chivefold {
 
-std::unique_ptr<wire::PeerAddressT> toWire(const Address &address) {
+std::unique_ptr<wire::PeerAddressT> addressToWire(const Address &address) {
   auto to = std::make_unique<wire::PeerAddressT>();
   to->ip = address.Ip;
   to->port = address.Port;
@@ -19,7 +19,7 @@
 
 std::unique_ptr<wire::MemberT> toWire(const Member &member) {
   auto to = std::make_unique<wire::MemberT>();
-  to->address = toWire(member.Peer);
+  to->address = addressToWire(member.Peer);
   to->data_centre = member.DataCentre;
   to->region = member.Region;
   to->service = member.Service;
--- a/tests/unit/move_controller_test.cpp
+++ b/tests/unit/move_controller_test.cpp
@@ -188,11 +188,11 @@
   SequentialTest test{SequentialTestSettings()};
   KindCounts counts{"/a", "a", 100000, 500, 0, 0, 0};
   test.update({counts}, {counts});
-  REQUIRE(test.assess().Result != Verdict::Bad);
+  REQUIRE(test.assess().Result != TestVerdict::Bad);
   counts.Calls += 12;
   counts.Errors += 6;
   test.update({}, {counts});
-  CHECK(test.assess().Result == Verdict::Bad);
+  CHECK(test.assess().Result == TestVerdict::Bad);
 }
 
 // Guards against counts that shrink, since the gate restarted, being taken for
@@ -201,7 +201,7 @@
   SequentialTest test{SequentialTestSettings()};
   test.update({}, {{"/a", "a", 1000, 5, 0, 0, 0}});
   test.update({}, {{"/a", "a", 10, 4, 0, 0, 0}});
-  CHECK(test.assess().Result != Verdict::Bad);
+  CHECK(test.assess().Result != TestVerdict::Bad);
   CHECK(test.callsSinceRestart() == Approx(1000));
 }
 
@@ -213,6 +213,6 @@
   test.update({often, {"/rare", "b", 100, 0, 0, 0, 0}},
               {often, {"/rare", "b", 40, 8, 0, 0, 0}});
   const auto assessment = test.assess();
-  CHECK(assessment.Result == Verdict::Bad);
+  CHECK(assessment.Result == TestVerdict::Bad);
   CHECK(assessment.Evidence.find("/rare") != std::string::npos);
 }
