--- a/src/core/record_wire.cpp
+++ b/src/core/record_wire.cpp
@@ -1,6 +1,57 @@
 #include "record_wire.h"
 
 namespace chivefold {
+namespace {
+
+/** Offset and size field that each string or table takes at least. */
+constexpr std::size_t ReferenceBytes = 8;
+
+using Strings = flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>;
+
+std::size_t bytes(const flatbuffers::String *s) {
+  return s == nullptr ? 0 : ReferenceBytes + s->size();
+}
+
+std::size_t bytes(const Strings *list) {
+  std::size_t n = 0;
+  for (flatbuffers::uoffset_t i = 0; list != nullptr && i < list->size(); ++i) {
+    n += bytes(list->Get(i));
+  }
+  return n;
+}
+
+std::size_t bytes(const wire::Service *s) {
+  if (s == nullptr) {
+    return 0;
+  }
+  auto n = ReferenceBytes + bytes(s->name()) + bytes(s->depends_on()) +
+           bytes(s->versions()) + bytes(s->current_version());
+  const auto *routes = s->routes();
+  for (flatbuffers::uoffset_t i = 0; routes != nullptr && i < routes->size();
+       ++i) {
+    const auto *r = routes->Get(i);
+    n += ReferenceBytes + bytes(r->method()) + bytes(r->path_prefix()) +
+         bytes(r->kind());
+  }
+  return n;
+}
+
+} // namespace
+
+std::size_t unsharedBytes(
+    const flatbuffers::Vector<flatbuffers::Offset<wire::Section>> *sections) {
+  std::size_t n = 0;
+  for (flatbuffers::uoffset_t i = 0;
+       sections != nullptr && i < sections->size() && n <= MaxRecordBytes;
+       ++i) {
+    const auto *s = sections->Get(i);
+    n += ReferenceBytes + bytes(s->service()) + bytes(s->removed_service());
+    if (s->fleet() != nullptr) {
+      n += bytes(s->fleet()->data_centres()) + bytes(s->fleet()->taken_out());
+    }
+  }
+  return n;
+}
 
 std::unique_ptr<wire::FleetT> toWire(const Fleet &fleet) {
   auto w = std::make_unique<wire::FleetT>();
--- a/src/core/record_wire.h
+++ b/src/core/record_wire.h
@@ -25,6 +25,14 @@
 Result<DaemonId> fromWire(const wire::DaemonIdT *id);
 Result<Address> fromWire(const wire::AddressT *address);
 
+/**
+ * @return lower bound of the bytes that @p sections take when none share their
+ * content. A damaged buffer can refer to one long string many times, which
+ * would take far more memory once unpacked. Precondition: verified.
+ */
+std::size_t unsharedBytes(
+    const flatbuffers::Vector<flatbuffers::Offset<wire::Section>> *sections);
+
 /** @return InvalidRecord with @p message. */
 inline Reason invalidRecord(std::string message) {
   return {ErrorCode::InvalidRecord, std::move(message)};
--- a/src/core/text_reader.h
+++ b/src/core/text_reader.h
@@ -59,12 +59,16 @@
     const auto &t = anyTable(value, what);
     for (const auto &it : t) {
       if (std::find(keys.begin(), keys.end(), it.first) == keys.end()) {
-        std::string expected;
+        std::string message = "unknown key ";
+        message += quotedText(it.first);
+        message += " in ";
+        message += what;
+        message += ", expected one of:";
         for (const auto &key : keys) {
-          expected += (expected.empty() ? "" : ", ") + std::string(key);
+          message += ' ';
+          message += key;
         }
-        fail(it.second, "unknown key " + quotedText(it.first) + " in " + what +
-                            ", expected one of: " + expected);
+        fail(it.second, std::move(message));
       }
     }
     return t;
