Restore the check for shared content in records

The check for a missing body, which both sides added, stays. The test 'records with shared content are refused' guards it.

--- a/src/core/record.cpp
+++ b/src/core/record.cpp
@@ -273,9 +273,9 @@
 }
 
 Result<RecordBody> bodyFromWire(const wire::RecordBodyUnion &body) {
-  // The verifier accepts a union whose type is set and whose value is absent.
+  // The verifier accepts a kind without a body.
   if (body.value == nullptr) {
-    return invalidRecord("record without a body");
+    return invalidRecord("record without body");
   }
   switch (body.type) {
   case wire::RecordBody::Change:
@@ -304,6 +304,15 @@
   return invalidRecord("record of an unknown kind");
 }
 
+/** The other bodies hold no lists of references. */
+std::size_t unsharedRecordBytes(const wire::Record *record) {
+  if (const auto *change = record->body_as_Change()) {
+    return unsharedBytes(change->sections());
+  }
+  const auto *part = record->body_as_ChangePart();
+  return part == nullptr ? 0 : unsharedBytes(part->sections());
+}
+
 } // namespace
 
 std::string_view moveResultName(MoveResult r) {
@@ -340,8 +349,12 @@
   if (!verifier.VerifyBuffer<wire::Record>(nullptr)) {
     return invalidRecord("record is damaged");
   }
+  const auto *root = flatbuffers::GetRoot<wire::Record>(data);
+  if (unsharedRecordBytes(root) > MaxRecordBytes) {
+    return invalidRecord("record with shared content");
+  }
   wire::RecordT w;
-  flatbuffers::GetRoot<wire::Record>(data)->UnPackTo(&w);
+  root->UnPackTo(&w);
   const auto id = idFromWire(w.id);
   if (!id) {
     return id.reason();
