Add end-to-end tests of failures, and mend what the linter found

Cause: clang-tidy named three parameters that are copied without need; the promises need runs of real processes under failures.

--- a/include/chivefold/daemon/call_message.h
+++ b/include/chivefold/daemon/call_message.h
@@ -71,7 +71,8 @@
 CallResult failedCall(Outcome outcome, ErrorCode code, std::uint16_t status,
                       Duration retryAfter);
 
-/** @return the request for a frame; @p now turns the deadline into time left. Thread-safe. */
+/** @return the request for a frame; @p now turns the deadline into time left.
+ * Thread-safe. */
 wire::CallRequestT toWire(const CallMessage &call, TimePoint now);
 CallMessage fromWire(wire::CallRequestT &request, TimePoint now);
 
@@ -79,7 +80,8 @@
 /** @return the result, or nothing if a field is out of range. Thread-safe. */
 std::optional<CallResult> fromWire(wire::CallAnswerT &answer);
 
-/** @return the headers without those of one connection or of this protocol. Thread-safe. */
+/** @return the headers without those of one connection or of this protocol.
+ * Thread-safe. */
 HttpHeaders endToEndHeaders(const HttpHeaders &headers);
 
 /** @return the number in @p text, or nothing. Thread-safe. */
--- a/include/chivefold/daemon/call_runner.h
+++ b/include/chivefold/daemon/call_runner.h
@@ -56,7 +56,8 @@
   void decide(const std::shared_ptr<Call> &call, CallDecision decision);
   void route(const std::shared_ptr<Call> &call);
   void send(const std::shared_ptr<Call> &call, const SendTo &send);
-  void sendToPeer(const std::shared_ptr<Call> &call, CallMessage message);
+  void sendToPeer(const std::shared_ptr<Call> &call,
+                  const CallMessage &message);
   void attemptEnded(const std::shared_ptr<Call> &call, std::uint32_t attempt,
                     CallResult result);
   void feedBack(const Call &call, const CallResult &result);
--- a/include/chivefold/daemon/membership_service.h
+++ b/include/chivefold/daemon/membership_service.h
@@ -75,7 +75,7 @@
   void probeIndirectly(const Address &target);
   void finishIndirect(const std::shared_ptr<Probe> &probe, bool reachable);
   void pushUrgent(const std::vector<Member> &updates);
-  wire::PingT makePing(std::vector<Member> updates);
+  wire::PingT makePing(const std::vector<Member> &updates);
   /** Merges updates and forwards the urgent ones that were new. */
   void mergeUpdates(const std::vector<Member> &updates);
   void onAck(const Address &target, const wire::AckT &ack);
--- a/include/chivefold/daemon/wire_convert.h
+++ b/include/chivefold/daemon/wire_convert.h
@@ -19,13 +19,15 @@
 /** @return @p address for a frame. Thread-safe. */
 std::unique_ptr<wire::PeerAddressT> addressToWire(const Address &address);
 
-/** @return the address, or nothing if it is not an IP number with a port. Thread-safe. */
+/** @return the address, or nothing if it is not an IP number with a port.
+ * Thread-safe. */
 std::optional<Address> fromWire(const wire::PeerAddressT *address);
 
 /** @return @p member for a frame. Thread-safe. */
 std::unique_ptr<wire::MemberT> toWire(const Member &member);
 
-/** @return the member, or nothing if a field is missing or out of range. Thread-safe. */
+/** @return the member, or nothing if a field is missing or out of range.
+ * Thread-safe. */
 std::optional<Member> fromWire(const wire::MemberT *member);
 
 /** Converts lists; entries that do not convert are dropped. Thread-safe. */
--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -14,14 +14,10 @@
 }
 
 json toJson(const Member &m) {
-  return {{"address", toString(m.Peer)},
-          {"data_centre", m.DataCentre},
-          {"region", m.Region},
-          {"service", m.Service},
-          {"version", m.ServiceVersion},
-          {"state", memberStateName(m.State)},
-          {"incarnation", m.Incarnation},
-          {"floor", raw(m.Floor)}};
+  return {{"address", toString(m.Peer)},  {"data_centre", m.DataCentre},
+          {"region", m.Region},           {"service", m.Service},
+          {"version", m.ServiceVersion},  {"state", memberStateName(m.State)},
+          {"incarnation", m.Incarnation}, {"floor", raw(m.Floor)}};
 }
 
 std::string stateOf(const MoveState &m) {
--- a/src/daemon/call_message.cpp
+++ b/src/daemon/call_message.cpp
@@ -9,15 +9,24 @@
 namespace {
 
 constexpr std::array<std::string_view, 18> HopHeaders = {
-    "Connection",         "Keep-Alive",
-    "Proxy-Connection",   "Proxy-Authenticate",
-    "Transfer-Encoding",  "TE",
-    "Trailer",            "Upgrade",
-    "Host",               "Content-Length",
-    "Expect",             CallHeaders::Key,
-    CallHeaders::Outcome, CallHeaders::TimeoutMs,
-    CallHeaders::Depth,   CallHeaders::RetryBudget,
-    CallHeaders::Version, CallHeaders::RetryAfterMs};
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Proxy-Authenticate",
+    "Transfer-Encoding",
+    "TE",
+    "Trailer",
+    "Upgrade",
+    "Host",
+    "Content-Length",
+    "Expect",
+    CallHeaders::Key,
+    CallHeaders::Outcome,
+    CallHeaders::TimeoutMs,
+    CallHeaders::Depth,
+    CallHeaders::RetryBudget,
+    CallHeaders::Version,
+    CallHeaders::RetryAfterMs};
 
 bool equalsIgnoringCase(std::string_view a, std::string_view b) {
   return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
--- a/src/daemon/call_runner.cpp
+++ b/src/daemon/call_runner.cpp
@@ -115,18 +115,18 @@
   message.Deadline = send.AttemptDeadline;
   message.RetryBudget = send.RetryBudget;
   if (send.Server != Self) {
-    sendToPeer(call, std::move(message));
+    sendToPeer(call, message);
     return;
   }
-  call->Local = LocalGate.run(
-      std::move(message),
-      [this, call, attempt = send.Attempt](CallResult result) {
-        attemptEnded(call, attempt, std::move(result));
-      });
+  call->Local =
+      LocalGate.run(std::move(message),
+                    [this, call, attempt = send.Attempt](CallResult result) {
+                      attemptEnded(call, attempt, std::move(result));
+                    });
 }
 
 void CallRunner::sendToPeer(const std::shared_ptr<Call> &call,
-                            CallMessage message) {
+                            const CallMessage &message) {
   const auto attempt = call->Attempt;
   const auto deadline = message.Deadline;
   call->Remote = Network.request(
@@ -139,10 +139,9 @@
           const auto code = outcome.Failure.Code == ErrorCode::Ok
                                 ? ErrorCode::InvalidRecord
                                 : outcome.Failure.Code;
-          result = failedCall(outcome.MayHaveArrived ? Outcome::Unknown
-                                                     : Outcome::NotRun,
-                              code, outcome.MayHaveArrived ? 504 : 503,
-                              DefaultRetryAfter);
+          result = failedCall(
+              outcome.MayHaveArrived ? Outcome::Unknown : Outcome::NotRun, code,
+              outcome.MayHaveArrived ? 504 : 503, DefaultRetryAfter);
         }
         attemptEnded(call, attempt, std::move(*result));
       });
--- a/src/daemon/caller_service.cpp
+++ b/src/daemon/caller_service.cpp
@@ -58,8 +58,7 @@
   // Without the configuration a key may be that of a request that has run.
   const bool keyed = !headerValue(request.Headers, CallHeaders::Key).empty();
   return failedCall(keyed ? Outcome::Unknown : Outcome::NotRun,
-                    ErrorCode::NotReady, keyed ? 504 : 503,
-                    NotReadyRetryAfter);
+                    ErrorCode::NotReady, keyed ? 504 : 503, NotReadyRetryAfter);
 }
 
 Status CallerService::readHeaders(const HttpRequest &request,
@@ -77,8 +76,8 @@
     return Reason{ErrorCode::TooLarge, "the call is too deep"};
   }
   auto &call = accepted.Call;
-  call.Deadline =
-      Loop.now() + std::chrono::milliseconds(std::min(*timeout, route.TimeoutMs));
+  call.Deadline = Loop.now() + std::chrono::milliseconds(
+                                   std::min(*timeout, route.TimeoutMs));
   call.Depth = *depth + 1;
   call.RetryBudget = std::min(*budget, MaxRetryBudget);
   call.Key = headerValue(request.Headers, CallHeaders::Key);
--- a/src/daemon/claim_service.cpp
+++ b/src/daemon/claim_service.cpp
@@ -172,10 +172,9 @@
   AttemptHooks hooks;
   hooks.Starting = [this, key] { return Table.attemptStarted(key); };
   hooks.NotRun = [this, key] { Table.attemptNotRun(key); };
-  Runner.run(std::move(call), std::move(hooks),
-             [this, key](CallResult result) {
-               runEnded(key, std::move(result));
-             });
+  Runner.run(std::move(call), std::move(hooks), [this, key](CallResult result) {
+    runEnded(key, std::move(result));
+  });
 }
 
 void ClaimService::runEnded(const KeyHash &key, CallResult result) {
--- a/src/daemon/control_service.cpp
+++ b/src/daemon/control_service.cpp
@@ -87,10 +87,9 @@
   Reading = true;
   const auto from = LogOffset{raw(Parts.State.applied()) + 1};
   const bool urgent = !WasReady || Wanted > Parts.State.applied();
-  Client.read(from, ReadBatch, urgent ? Duration{} : LongPoll,
-              now + ReadTimeout, [this, now](const Result<LogBatch> &batch) {
-                onRead(batch, now);
-              });
+  Client.read(
+      from, ReadBatch, urgent ? Duration{} : LongPoll, now + ReadTimeout,
+      [this, now](const Result<LogBatch> &batch) { onRead(batch, now); });
 }
 
 void ControlService::onRead(const Result<LogBatch> &batch, TimePoint sentAt) {
@@ -220,7 +219,8 @@
         if (done) {
           applied(1);
         } else {
-          Lines.debug("snapshot not used", {{"reason", toString(done.reason())}});
+          Lines.debug("snapshot not used",
+                      {{"reason", toString(done.reason())}});
         }
       });
 }
@@ -312,8 +312,7 @@
   for (const auto &it : steps) {
     onStep(*it);
   }
-  if (applied == Parts.State.applied() &&
-      digest != Parts.State.digest()) {
+  if (applied == Parts.State.applied() && digest != Parts.State.digest()) {
     // Replay is deterministic, so this is a fault of one of the two.
     Lines.error("state differs at the same offset",
                 {{"peer", toString(peer)}, {"applied", raw(applied)}});
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -28,9 +28,8 @@
   m.ServiceVersion = s.ServiceVersion;
   // The clock gives a restarted daemon a higher incarnation in most cases; if
   // not, its peers tell it the one to exceed.
-  m.Incarnation =
-      static_cast<std::uint64_t>(std::max<std::int64_t>(
-          now.time_since_epoch().count(), 1));
+  m.Incarnation = static_cast<std::uint64_t>(
+      std::max<std::int64_t>(now.time_since_epoch().count(), 1));
   m.BootId = bootId;
   m.CallerPort = s.CallerListen.Port;
   return m;
@@ -85,14 +84,13 @@
 };
 
 Daemon::Parts::Parts(Reactor &reactor, Settings settings, std::uint64_t seed)
-    : Loop(reactor), Own(std::move(settings)), Seeds(seed), BootId(Seeds()),
-      Self{Own.PeerListen, BootId}, Steps(State),
+    : Loop(reactor), Own(std::move(settings)), Seeds(seed),
+      BootId(Seeds()), Self{Own.PeerListen, BootId}, Steps(State),
       Members(selfOf(Own, BootId, Loop.utcNow()), Seeds()),
       Records(State, Members), Routes(Seeds(), Own.DataCentre),
       Tokens(Loop.now()), Figures(MetricsSettings()),
-      Routing(Routes, State, Steps, Members),
-      Backend(Loop, BackendConnections), LogHttp(Loop, LogConnections),
-      Log(Loop, LogHttp, Own.LogUrl, Seeds()),
+      Routing(Routes, State, Steps, Members), Backend(Loop, BackendConnections),
+      LogHttp(Loop, LogConnections), Log(Loop, LogHttp, Own.LogUrl, Seeds()),
       Network(Loop, Own.PeerListen,
               [this](const Address &from, wire::FrameBodyUnion &body,
                      const PeerResponder &respond) {
@@ -101,7 +99,8 @@
       Gate(Loop, Backend, Own, State),
       Control(Loop, Network, Log, {State, Steps, Members, Records}, Seeds(),
               [this] { onApplied(); }),
-      Membership(Loop, Network, Members, Control, [this] { Routing.refresh(); }),
+      Membership(Loop, Network, Members, Control,
+                 [this] { Routing.refresh(); }),
       Join(Loop, Network, Control, State, Membership, Members, Own, Seeds()),
       Runner(Loop, Network, Routes, Tokens, Gate, Own.PeerListen),
       Claims(Loop, Network, Control, State, Runner, Self),
@@ -179,7 +178,7 @@
   }
   const auto token = Network.requestToken();
   const auto id =
-      Gate.run(std::move(call), [this, token, reply](CallResult result) {
+      Gate.run(std::move(call), [this, token, reply](const CallResult &result) {
         PeerCalls.erase(token);
         reply(result);
       });
@@ -197,8 +196,8 @@
 }
 
 void Daemon::Parts::drain(TimePoint deadline) {
-  const auto open = Runner.openCalls() + Claims.openCalls() +
-                    Gate.openCalls() + CallerServer.openRequests();
+  const auto open = Runner.openCalls() + Claims.openCalls() + Gate.openCalls() +
+                    CallerServer.openRequests();
   if (open == 0 || Loop.now() >= deadline) {
     Lines.info("daemon stopped", {{"open_calls", open}});
     Membership.announceSelf(MemberState::Left);
--- a/src/daemon/gate_service.cpp
+++ b/src/daemon/gate_service.cpp
@@ -78,17 +78,18 @@
   auto &open = Calls.at(id);
   open.Running = true;
   open.StartedAt = Loop.now();
-  open.Http = Client.start(
-      httpCall(open.Message),
-      [this, id](HttpOutcome outcome) { finished(id, std::move(outcome)); });
+  open.Http =
+      Client.start(httpCall(open.Message), [this, id](HttpOutcome outcome) {
+        finished(id, std::move(outcome));
+      });
 }
 
 CallResult GateService::classify(HttpOutcome &outcome,
                                  ServerResult &result) const {
   if (outcome.Response) {
     auto &response = *outcome.Response;
-    result = response.Status >= 500 ? ServerResult::ServerError
-                                    : ServerResult::Ok;
+    result =
+        response.Status >= 500 ? ServerResult::ServerError : ServerResult::Ok;
     const auto said = headerValue(response.Headers, CallHeaders::Outcome);
     if (said == outcomeName(Outcome::NotRun)) {
       // The backend server shed the request and says so.
@@ -136,8 +137,7 @@
   if (it == Calls.end()) {
     return;
   }
-  const auto status =
-      code == ErrorCode::Overloaded ? StatusShed : StatusNotRun;
+  const auto status = code == ErrorCode::Overloaded ? StatusShed : StatusNotRun;
   auto result = failedCall(Outcome::NotRun, code, status, retryAfter);
   count(it->second.Message, result, {});
   reply(id, std::move(result));
@@ -180,13 +180,12 @@
 void GateService::dropOldCounts() {
   const auto *service = State.configuration()->service(Own.Service);
   for (auto it = Counts.begin(); it != Counts.end();) {
-    const bool kept =
-        service != nullptr &&
-        std::any_of(service->Routes.begin(), service->Routes.end(),
-                    [&it](const Route &r) {
-                      return r.PathPrefix == it->first.first &&
-                             r.Kind == it->first.second;
-                    });
+    const bool kept = service != nullptr &&
+                      std::any_of(service->Routes.begin(),
+                                  service->Routes.end(), [&it](const Route &r) {
+                                    return r.PathPrefix == it->first.first &&
+                                           r.Kind == it->first.second;
+                                  });
     it = kept ? std::next(it) : Counts.erase(it);
   }
 }
--- a/src/daemon/join_service.cpp
+++ b/src/daemon/join_service.cpp
@@ -46,8 +46,7 @@
   const bool ready = Control.readiness().Ready;
   const auto unwanted = [&](const Address &a) {
     const auto *member = Members.find(a);
-    const bool alive =
-        member != nullptr && member->State == MemberState::Alive;
+    const bool alive = member != nullptr && member->State == MemberState::Alive;
     return a == Members.self().Peer || (ready && alive);
   };
   known.erase(std::remove_if(known.begin(), known.end(), unwanted),
@@ -66,9 +65,9 @@
   join.from = toWire(Members.self());
   Network.request(peer, frameBody(std::move(join)), Loop.now() + JoinTimeout,
                   [this, peer](const PeerOutcome &outcome) {
-                    const auto *answer =
-                        outcome.Answer ? outcome.Answer->AsJoinAnswer()
-                                       : nullptr;
+                    const auto *answer = outcome.Answer
+                                             ? outcome.Answer->AsJoinAnswer()
+                                             : nullptr;
                     if (answer != nullptr) {
                       onAnswer(peer, *answer);
                     }
--- a/src/daemon/membership_service.cpp
+++ b/src/daemon/membership_service.cpp
@@ -41,7 +41,7 @@
   Timer = Loop.schedule(now + TickInterval, [this] { tick(); });
 }
 
-wire::PingT MembershipService::makePing(std::vector<Member> updates) {
+wire::PingT MembershipService::makePing(const std::vector<Member> &updates) {
   wire::PingT ping;
   ping.from = toWire(Members.self());
   ping.applied = raw(Payload.appliedOffset());
@@ -52,17 +52,16 @@
 }
 
 void MembershipService::probe(const Address &target) {
-  Network.request(target, frameBody(makePing(Members.takeUpdates())),
-                  Loop.now() + ProbeTimeout,
-                  [this, target](const PeerOutcome &outcome) {
-                    const auto *ack =
-                        outcome.Answer ? outcome.Answer->AsAck() : nullptr;
-                    if (ack != nullptr) {
-                      onAck(target, *ack);
-                    } else {
-                      probeIndirectly(target);
-                    }
-                  });
+  Network.request(
+      target, frameBody(makePing(Members.takeUpdates())),
+      Loop.now() + ProbeTimeout, [this, target](const PeerOutcome &outcome) {
+        const auto *ack = outcome.Answer ? outcome.Answer->AsAck() : nullptr;
+        if (ack != nullptr) {
+          onAck(target, *ack);
+        } else {
+          probeIndirectly(target);
+        }
+      });
 }
 
 void MembershipService::onAck(const Address &target, const wire::AckT &ack) {
@@ -86,15 +85,13 @@
   for (const auto &it : helpers) {
     wire::PingRequestT request;
     request.target = addressToWire(target);
-    Network.request(it, frameBody(std::move(request)),
-                    Loop.now() + 2 * ProbeTimeout,
-                    [this, probe](const PeerOutcome &outcome) {
-                      const auto *answer =
-                          outcome.Answer ? outcome.Answer->AsPingRequestAnswer()
-                                         : nullptr;
-                      finishIndirect(probe, answer != nullptr &&
-                                                answer->reachable);
-                    });
+    Network.request(
+        it, frameBody(std::move(request)), Loop.now() + 2 * ProbeTimeout,
+        [this, probe](const PeerOutcome &outcome) {
+          const auto *answer =
+              outcome.Answer ? outcome.Answer->AsPingRequestAnswer() : nullptr;
+          finishIndirect(probe, answer != nullptr && answer->reachable);
+        });
   }
 }
 
--- a/src/daemon/move_service.cpp
+++ b/src/daemon/move_service.cpp
@@ -120,20 +120,21 @@
   }
   wire::StatsRequestT request;
   request.service = Own.Service;
-  Network.request(
-      member.Peer, frameBody(std::move(request)), sentAt + StatsTimeout,
-      [this, member, sentAt](const PeerOutcome &outcome) {
-        const auto *answer =
-            outcome.Answer ? outcome.Answer->AsStatsAnswer() : nullptr;
-        if (answer == nullptr) {
-          return;
-        }
-        GateStats stats{member.ServiceVersion, {}, sentAt};
-        for (const auto &it : answer->stats) {
-          stats.Counts.push_back(fromWire(*it));
-        }
-        Stats[member.Peer] = std::move(stats);
-      });
+  Network.request(member.Peer, frameBody(std::move(request)),
+                  sentAt + StatsTimeout,
+                  [this, member, sentAt](const PeerOutcome &outcome) {
+                    const auto *answer = outcome.Answer
+                                             ? outcome.Answer->AsStatsAnswer()
+                                             : nullptr;
+                    if (answer == nullptr) {
+                      return;
+                    }
+                    GateStats stats{member.ServiceVersion, {}, sentAt};
+                    for (const auto &it : answer->stats) {
+                      stats.Counts.push_back(fromWire(*it));
+                    }
+                    Stats[member.Peer] = std::move(stats);
+                  });
 }
 
 void MoveService::onStatsRequest(const wire::StatsRequestT &request,
--- a/src/daemon/routing_update.cpp
+++ b/src/daemon/routing_update.cpp
@@ -29,8 +29,7 @@
 } // namespace
 
 RoutingUpdate::RoutingUpdate(Router &router, const ControlState &state,
-                             const SafeSteps &steps,
-                             const MemberTable &members)
+                             const SafeSteps &steps, const MemberTable &members)
     : Routes(router), State(state), Steps(steps), Members(members) {}
 
 void RoutingUpdate::refresh() {
--- a/src/io/logging.cpp
+++ b/src/io/logging.cpp
@@ -91,8 +91,7 @@
 }
 
 Status setLogLevel(std::string_view name) {
-  const auto *const it =
-      std::find(LevelNames.begin(), LevelNames.end(), name);
+  const auto *const it = std::find(LevelNames.begin(), LevelNames.end(), name);
   if (it == LevelNames.end()) {
     return Reason{ErrorCode::InvalidArgument,
                   "level is not one of trace, debug, info, warn, error"};
@@ -120,9 +119,8 @@
 
 Logger::Impl::Count &Logger::Impl::countOf(std::string_view message,
                                            std::uint64_t now) {
-  auto it = std::find_if(Counts.begin(), Counts.end(), [&](const Count &c) {
-    return c.Message == message;
-  });
+  auto it = std::find_if(Counts.begin(), Counts.end(),
+                         [&](const Count &c) { return c.Message == message; });
   if (it != Counts.end()) {
     return *it;
   }
--- a/src/io/peer_network.cpp
+++ b/src/io/peer_network.cpp
@@ -123,8 +123,7 @@
       stream.close();
       continue;
     }
-    auto link =
-        std::make_shared<PeerLink>(Loop, *this, addressOf(from), true);
+    auto link = std::make_shared<PeerLink>(Loop, *this, addressOf(from), true);
     touch(*link);
     Links.emplace(link.get(), link);
     link->accept(stream);
@@ -141,9 +140,8 @@
   for (const auto &it : Links) {
     const auto &link = it.second;
     const auto rank = std::make_pair(link->inbound(), link->LastUse);
-    if (link->idle() &&
-        (!oldest ||
-         rank < std::make_pair(oldest->inbound(), oldest->LastUse))) {
+    if (link->idle() && (!oldest || rank < std::make_pair(oldest->inbound(),
+                                                          oldest->LastUse))) {
       oldest = link;
     }
   }
--- a/tests/e2e/lib.sh
+++ b/tests/e2e/lib.sh
@@ -129,3 +129,33 @@
   [ "$twice" = 0 ] || fail "$twice keys ran twice"
   [ "$lied" = 0 ] || fail "$lied keys ran that a caller was told were not run"
 }
+
+# apply_text FILE applies a text and waits until it is in force everywhere.
+apply_text() {
+  local out
+  out=$("$build/tools/chivefold" apply "$1") || fail "apply: $out"
+  echo "$out"
+  wait_until 11 all_at_version "$(accepted_offset "$out")" || fail "not in force everywhere within 11 s"
+}
+
+# start_load REPORT_NAME FLAGS... runs the load generator in the background.
+start_load() {
+  local name=$1
+  shift
+  "$build/tests/standins/load_generator" "$@" --list-keys >"$run_dir/$name.json" 2>"$run_dir/$name.log" &
+  pid_of[$name]=$!
+}
+
+# end_load REPORT_NAME waits for it and prints its counts.
+end_load() {
+  local code=0
+  wait "${pid_of[$1]}" || code=$?
+  unset "pid_of[$1]"
+  [ "$code" = 0 ] || fail "load generator: $(cat "$run_dir/$1.log")"
+  jq -c '{sent, repeats, outcomes, statuses, versions, transport_errors, wrong_bodies}' "$run_dir/$1.json"
+}
+
+# count REPORT_NAME JQ_PATH prints a number of a load report, 0 if absent.
+count() { jq "$2 // 0" "$run_dir/$1.json"; }
+
+set_log_mode() { curl -fsS -o /dev/null -X POST "http://$log_address/control?mode=$1${2:+&delay_ms=$2}"; }
--- a/tests/unit/peer_network_test.cpp
+++ b/tests/unit/peer_network_test.cpp
@@ -42,14 +42,14 @@
 
   PeerFixture() {
     REQUIRE(Server->start());
-    Server->onCancel([this](std::uint64_t token) { Cancelled.push_back(token); });
+    Server->onCancel(
+        [this](std::uint64_t token) { Cancelled.push_back(token); });
   }
   PeerRequestId ask(const Address &to, std::uint64_t n,
                     Duration limit = std::chrono::seconds(15)) {
-    return Client->request(to, fetch(n), Loop.now() + limit,
-                           [this, n](PeerOutcome o) {
-                             Outcomes.emplace(n, std::move(o));
-                           });
+    return Client->request(
+        to, fetch(n), Loop.now() + limit,
+        [this, n](PeerOutcome o) { Outcomes.emplace(n, std::move(o)); });
   }
   bool waitFor(std::size_t outcomes) {
     return runUntil(Loop, [&] { return Outcomes.size() == outcomes; });
@@ -67,8 +67,8 @@
     f.ask(f.Server->bound(), i);
   }
   f.Client->send(f.Server->bound(), fetch(0));
-  REQUIRE(runUntil(f.Loop,
-                   [&] { return f.Waiting.size() == N && f.OneWay == 1; }));
+  REQUIRE(
+      runUntil(f.Loop, [&] { return f.Waiting.size() == N && f.OneWay == 1; }));
   for (auto it = f.Waiting.rbegin(); it != f.Waiting.rend(); ++it) {
     it->second(fetch(it->first + 1000));
     it->second(fetch(it->first + 5000));
