--- a/benchmark/move_decision.cpp
+++ b/benchmark/move_decision.cpp
@@ -23,7 +23,9 @@
   const double bad = oldBad + newBad;
   const double all = choose(oldAll + newAll, bad);
   double p = 0;
-  for (double k = newBad; k <= std::min(bad, newAll); ++k) {
+  const auto last = static_cast<std::uint64_t>(std::min(bad, newAll));
+  for (auto n = static_cast<std::uint64_t>(newBad); n <= last; ++n) {
+    const auto k = static_cast<double>(n);
     if (bad - k <= oldAll) {
       p += std::exp(choose(newAll, k) + choose(oldAll, bad - k) - all);
     }
@@ -60,7 +62,7 @@
     }
     const std::chrono::duration<double> passed = now - *Start;
     const auto step = static_cast<std::size_t>(
-        passed.count() / (0.95 * Seconds / Shares.size()));
+        passed.count() / (0.95 * Seconds / static_cast<double>(Shares.size())));
     if (step >= Shares.size()) {
       return {AppendEnd{LogOffset(1), MoveResult::Done, {}, {}}};
     }
--- a/include/chivefold/core/metrics.h
+++ b/include/chivefold/core/metrics.h
@@ -93,7 +93,8 @@
   void record(TimePoint now, const CallSample &sample);
 
   /**
-   * States the objective of one kind, for samples before and after.
+   * States the objective of one kind, for samples before and after. Ignored
+   * for a new kind when the table is full, which keeps the default.
    * @param objective share of good calls, in (0, 1).
    */
   void setObjective(std::string_view service, std::string_view kind,
@@ -105,6 +106,7 @@
 private:
   struct Series;
   using SeriesKey = std::pair<std::string, std::string>;
+  bool isFull() const { return All.size() + 1 >= MetricsSettings::MaxSeries; }
   Series &seriesFor(std::string_view service, std::string_view kind);
 
   MetricsSettings Settings;
--- a/include/chivefold/core/move_controller.h
+++ b/include/chivefold/core/move_controller.h
@@ -76,6 +76,11 @@
   std::optional<TimePoint> HolderSeen;
   /** Place of this daemon among the candidates in rendezvous order. */
   unsigned Rank = 0;
+  /**
+   * Sums over all gates heard of, by address and boot id, with the last known
+   * counts of a gate that does not answer: a gate that drops out of the sum and
+   * returns would have its past counted twice.
+   */
   std::vector<KindCounts> OldCounts;
   std::vector<KindCounts> NewCounts;
   /** When the oldest of the counts was collected; absent if never. */
--- a/include/chivefold/core/sequential_test.h
+++ b/include/chivefold/core/sequential_test.h
@@ -52,7 +52,7 @@
   double RefusalMargin = 0.15;
   /** A version is bad if its mean latency exceeds the old one by this factor.
    */
-  double LatencyFactor = 1.6;
+  double LatencyFactor = 1.8;
   /** Latency below this many calls of a version is not judged. */
   double MinLatencyCalls = 20;
   /** Calls of the old version that its recent rates are taken over. */
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -145,7 +145,7 @@
   SeriesKey key(service, kind);
   auto it = All.find(key);
   // The last place is kept for the series "other".
-  if (it == All.end() && All.size() + 1 >= MetricsSettings::MaxSeries) {
+  if (it == All.end() && isFull()) {
     key = {"other", "other"};
     it = All.find(key);
   }
@@ -175,7 +175,9 @@
 
 void Metrics::setObjective(std::string_view service, std::string_view kind,
                            double objective) {
-  seriesFor(service, kind).Figures.Objective = objective;
+  if (!isFull() || All.count(SeriesKey(service, kind)) > 0) {
+    seriesFor(service, kind).Figures.Objective = objective;
+  }
 }
 
 MetricsReport Metrics::report(TimePoint now) const {
--- a/tests/unit/move_controller_test.cpp
+++ b/tests/unit/move_controller_test.cpp
@@ -52,7 +52,8 @@
 }
 
 /** Runs a behaviour at several seeds and counts the moves that got done. */
-unsigned countDone(Behaviour behaviour, double callsPerSecond, unsigned runs) {
+unsigned countDone(const Behaviour &behaviour, double callsPerSecond,
+                   unsigned runs) {
   unsigned done = 0;
   for (unsigned n = 0; n < runs; ++n) {
     const auto end =
