Sum the figures of a move over every run of a gate

Cause: MoveService dropped a gate that did not answer from the sums; when it came back its whole past would have counted as new growth (reported by the author of the sequential test). Conclusion: one entry per address and boot id until the move ends; only live gates must have fresh figures.

--- a/include/chivefold/daemon/move_service.h
+++ b/include/chivefold/daemon/move_service.h
@@ -64,6 +64,8 @@
     std::string ServiceVersion;
     std::vector<KindCounts> Counts;
     TimePoint ReadAt{};
+    /** Whether the gate is alive, so that fresh counts are expected of it. */
+    bool Live = true;
   };
 
   void tick();
@@ -87,8 +89,9 @@
   Version Driven = Version::None;
   LogOffset SeenLease = LogOffset::None;
   std::optional<TimePoint> HolderSeen;
-  /** By address; only members of this service. */
-  std::map<Address, GateStats> Stats;
+  /** One entry for each run of a gate of this service, kept until the move
+   * ends: counts that left the sum and came back would count twice. */
+  std::map<std::pair<Address, std::uint64_t>, GateStats> Stats;
   TimerId Timer = TimerId::None;
   Logger Lines{"moves"};
 };
--- a/src/daemon/move_service.cpp
+++ b/src/daemon/move_service.cpp
@@ -100,41 +100,45 @@
 }
 
 void MoveService::collect() {
+  for (auto &it : Stats) {
+    it.second.Live = false;
+  }
   for (const auto &it : Parts.Members.members()) {
-    if (it.Service != Own.Service) {
+    if (it.Service != Own.Service || it.State != MemberState::Alive) {
       continue;
     }
-    if (it.State == MemberState::Alive || it.State == MemberState::Leaving) {
-      collectFrom(it);
-    } else {
-      Stats.erase(it.Peer);
+    const auto known = Stats.find({it.Peer, it.BootId});
+    if (known != Stats.end()) {
+      known->second.Live = true;
     }
+    collectFrom(it);
   }
 }
 
 void MoveService::collectFrom(const Member &member) {
   const auto sentAt = Loop.now();
+  const std::pair<Address, std::uint64_t> gate{member.Peer, member.BootId};
   if (member.Peer == Self.Peer) {
-    Stats[member.Peer] = {Own.ServiceVersion, Parts.Gate.counts(), sentAt};
+    Stats[gate] = {Own.ServiceVersion, Parts.Gate.counts(), sentAt, true};
     return;
   }
   wire::StatsRequestT request;
   request.service = Own.Service;
-  Network.request(member.Peer, frameBody(std::move(request)),
-                  sentAt + StatsTimeout,
-                  [this, member, sentAt](const PeerOutcome &outcome) {
-                    const auto *answer = outcome.Answer
-                                             ? outcome.Answer->AsStatsAnswer()
-                                             : nullptr;
-                    if (answer == nullptr) {
-                      return;
-                    }
-                    GateStats stats{member.ServiceVersion, {}, sentAt};
-                    for (const auto &it : answer->stats) {
-                      stats.Counts.push_back(fromWire(*it));
-                    }
-                    Stats[member.Peer] = std::move(stats);
-                  });
+  Network.request(
+      member.Peer, frameBody(std::move(request)), sentAt + StatsTimeout,
+      [this, gate, version = member.ServiceVersion,
+       sentAt](const PeerOutcome &outcome) {
+        const auto *answer =
+            outcome.Answer ? outcome.Answer->AsStatsAnswer() : nullptr;
+        if (answer == nullptr || Driven == Version::None) {
+          return;
+        }
+        GateStats stats{version, {}, sentAt, true};
+        for (const auto &it : answer->stats) {
+          stats.Counts.push_back(fromWire(*it));
+        }
+        Stats[gate] = std::move(stats);
+      });
 }
 
 void MoveService::onStatsRequest(const wire::StatsRequestT &request,
@@ -153,14 +157,11 @@
 void MoveService::addCounts(const MoveState &move, MoveView &view) const {
   for (const auto &it : Stats) {
     const bool isNew = it.second.ServiceVersion == move.ToVersion;
-    const bool isOld = it.second.ServiceVersion == move.FromVersion;
-    if (!isNew && !isOld) {
-      continue;
-    }
     for (const auto &counts : it.second.Counts) {
       addTo(isNew ? view.NewCounts : view.OldCounts, counts);
     }
-    if (!view.CountsRead || it.second.ReadAt < *view.CountsRead) {
+    if (it.second.Live &&
+        (!view.CountsRead || it.second.ReadAt < *view.CountsRead)) {
       view.CountsRead = it.second.ReadAt;
     }
   }
