Test that a limit grows only on its own calls

Cause: with windows of 16 calls the property of the cold server no longer fails when calls of the previous limit are counted (it did with windows of 8). Ruled out: leaving the rule without a test; smaller windows only in the property, which would test another tuning than the default. Conclusion: the rule has a direct test.

--- a/tests/unit/gate_test.cpp
+++ b/tests/unit/gate_test.cpp
@@ -173,6 +173,32 @@
   }));
 }
 
+// Guards against growth on the evidence of calls that ran under a lower limit.
+TEST_CASE("only calls of the current limit let it grow", "[gate]") {
+  GateTuning tuning;
+  tuning.MinWindow = 1;
+  Gate gate({4, 100, 20, 2}, tuning);
+  const auto start = [&gate](std::uint64_t id) {
+    REQUIRE(gate.admit(request(id, 1), T0).Kind == Admitted::Run);
+  };
+  const auto limitAfter = [&gate](std::uint64_t id) {
+    gate.finish(static_cast<GateRequestId>(id), ServerResult::Ok, 10ms, T0);
+    return gate.state().Limit;
+  };
+  start(1);
+  start(2);
+  CHECK(limitAfter(1) == 2);
+  start(3);
+  CHECK(limitAfter(2) == 3);
+  start(4);
+  start(5);
+  CHECK(limitAfter(3) == 3);
+  CHECK(limitAfter(4) == 3);
+  CHECK(limitAfter(5) == 3);
+  start(6);
+  CHECK(limitAfter(6) == 4);
+}
+
 // Guards against a server that turns cold under full load and is kept there.
 TEST_CASE("a sudden cold turn falls back to the cold limit", "[gate]") {
   ColdServer server;
