Add the operator's command line

Cause: operators need to check, compare and apply texts through the log and to see what a daemon reports. Ruled out: the reactor's log client, since a command is sequential; only its parser of reads is shared. Conclusion: a lost answer is resolved by reading on before the same record is sent again, and what cannot be found out is reported as unknown.

--- /dev/null
+++ b/src/daemon/operator_apply.cpp
@@ -0,0 +1,203 @@
+#include "chivefold/daemon/operator_commands.h"
+
+#include "chivefold/core/configuration_text.h"
+
+#include <nlohmann/json.hpp>
+
+namespace chivefold {
+namespace {
+
+using nlohmann::json;
+
+OperatorResult report(OperatorExit exit, const std::string &outcome,
+                      const std::string &message, json details, bool asJson) {
+  OperatorResult result;
+  result.Exit = exit;
+  if (asJson) {
+    details["outcome"] = outcome;
+    details["message"] = message;
+    result.Output =
+        details.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
+  } else if (exit == OperatorExit::Ok) {
+    result.Output = message + "\n";
+  } else {
+    result.Error = message;
+  }
+  return result;
+}
+
+OperatorResult badText(const Reason &reason, bool asJson) {
+  return report(OperatorExit::BadInput, "bad-text", toString(reason),
+                {{"line", reason.Line}, {"column", reason.Column}}, asJson);
+}
+
+/** For failures before anything was appended. */
+OperatorResult failed(const Reason &reason, bool asJson) {
+  const bool unknown = reason.Code == ErrorCode::LogUnavailable;
+  return report(unknown ? OperatorExit::Unknown : OperatorExit::Refused,
+                unknown ? "unknown" : "failed",
+                reason.Message + "; nothing was appended", json::object(),
+                asJson);
+}
+
+OperatorResult unknown(const Reason &reason, const RecordId &id, bool asJson) {
+  return report(OperatorExit::Unknown, "unknown",
+                "unknown: " + reason.Message +
+                    "; ask again with `chivefold apply --resume " +
+                    toString(id) + "`",
+                {{"id", toString(id)}}, asJson);
+}
+
+std::string refusal(const Verdict &v, const OperatorLog &log) {
+  if (v.Kind == VerdictKind::LostRace) {
+    const auto writer =
+        v.WinnerWriter.empty() ? log.writerAt(v.WinnerOffset) : v.WinnerWriter;
+    return "lost race to offset " + std::to_string(raw(v.WinnerOffset)) +
+           " by " + (writer.empty() ? "an unknown writer" : writer);
+  }
+  return std::string(verdictName(v.Kind));
+}
+
+OperatorResult judged(const Verdict &v, const OperatorLog &log,
+                      const RecordId &id, bool asJson) {
+  json details = {{"offset", raw(v.Offset)},
+                  {"verdict", verdictName(v.Kind)},
+                  {"id", toString(id)}};
+  if (v.Kind == VerdictKind::Counted) {
+    return report(OperatorExit::Ok, "accepted",
+                  "accepted at offset " + std::to_string(raw(v.Offset)),
+                  details, asJson);
+  }
+  if (v.WinnerOffset != LogOffset::None) {
+    details["winner"] = raw(v.WinnerOffset);
+  }
+  return report(OperatorExit::Refused, "refused",
+                "refused, not in force: " + refusal(v, log), details, asJson);
+}
+
+OperatorResult appendAndReport(OperatorLog &log,
+                               const std::vector<Record> &records,
+                               bool asJson) {
+  const auto &id = records.back().Id;
+  const auto verdict = log.append(records);
+  if (verdict) {
+    return judged(*verdict, log, id, asJson);
+  }
+  if (verdict.reason().Code == ErrorCode::OutcomeUnknown) {
+    return unknown(verdict.reason(), id, asJson);
+  }
+  return report(OperatorExit::Refused, "failed", verdict.reason().Message,
+                {{"id", toString(id)}}, asJson);
+}
+
+} // namespace
+
+OperatorResult checkText(const std::string &text,
+                         const OperatorContext &context, bool json) {
+  const auto config = compileConfiguration(text, context.Now());
+  if (!config) {
+    return badText(config.reason(), json);
+  }
+  return report(OperatorExit::Ok, "good",
+                "good: " + std::to_string(config->Services.size()) +
+                    " services",
+                {{"services", config->Services.size()}}, json);
+}
+
+OperatorResult diffText(const std::string &text, OperatorContext &context,
+                        const std::string &logUrl, bool json) {
+  const auto config = compileConfiguration(text);
+  if (!config) {
+    return badText(config.reason(), json);
+  }
+  OperatorLog log(context, logUrl);
+  const auto read = log.readToTail();
+  if (!read) {
+    return failed(read.reason(), json);
+  }
+  const auto sections = difference(*log.state().configuration(), *config);
+  auto lines = describe(sections);
+  if (!lines.empty()) {
+    lines.pop_back();
+  }
+  return report(
+      OperatorExit::Ok, sections.empty() ? "same" : "different",
+      sections.empty() ? "no difference" : lines,
+      {{"version", raw(log.state().version())}, {"sections", sections.size()}},
+      json);
+}
+
+OperatorResult applyText(const std::string &text, OperatorContext &context,
+                         const ApplyOptions &options) {
+  const auto config = compileConfiguration(text, context.Now());
+  if (!config) {
+    return badText(config.reason(), options.Json);
+  }
+  OperatorLog log(context, options.LogUrl);
+  const auto read = log.readToTail();
+  if (!read) {
+    return failed(read.reason(), options.Json);
+  }
+  auto sections = difference(*log.state().configuration(), *config);
+  const auto version = log.state().version();
+  if (sections.empty()) {
+    return report(OperatorExit::Ok, "same",
+                  "no difference to version " + std::to_string(raw(version)) +
+                      ", nothing was appended",
+                  {{"version", raw(version)}}, options.Json);
+  }
+  const auto records =
+      makeChange(options.Base.value_or(version), std::move(sections),
+                 context.NewId, context.Writer);
+  if (!records) {
+    return failed(records.reason(), options.Json);
+  }
+  return appendAndReport(log, *records, options.Json);
+}
+
+OperatorResult resumeApply(const RecordId &id, OperatorContext &context,
+                           const ApplyOptions &options) {
+  OperatorLog log(context, options.LogUrl);
+  const auto read = log.readToTail();
+  if (!read) {
+    return unknown(read.reason(), id, options.Json);
+  }
+  const auto verdict = log.find(id);
+  if (!verdict) {
+    return report(OperatorExit::Unknown, "unknown",
+                  "unknown: the retained log has no record " + toString(id) +
+                      "; it was not accepted unless its append is still on "
+                      "its way or its record is no longer retained",
+                  {{"id", toString(id)}}, options.Json);
+  }
+  return judged(*verdict, log, id, options.Json);
+}
+
+OperatorResult setDataCentre(const std::string &dataCentre, bool takenOut,
+                             OperatorContext &context,
+                             const std::string &logUrl, bool json) {
+  OperatorLog log(context, logUrl);
+  const auto read = log.readToTail();
+  if (!read) {
+    return failed(read.reason(), json);
+  }
+  const auto *known = log.state().dataCentre(dataCentre);
+  if (known == nullptr) {
+    return failed({ErrorCode::NotFound,
+                   "no data centre " + dataCentre + " in the configuration"},
+                  json);
+  }
+  if (known->TakenOut == takenOut) {
+    return report(OperatorExit::Ok, "same",
+                  dataCentre + " is already " +
+                      (takenOut ? "taken out" : "in use") +
+                      ", nothing was appended",
+                  nlohmann::json::object(), json);
+  }
+  return appendAndReport(log,
+                         {{context.NewId(), context.Writer,
+                           DataCentreRecord{dataCentre, takenOut}}},
+                         json);
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/src/daemon/operator_commands.cpp
@@ -0,0 +1,190 @@
+#include "chivefold/daemon/operator_commands.h"
+
+#include "chivefold/daemon/version.h"
+
+#include <CLI/CLI.hpp>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace chivefold {
+namespace {
+
+/** Everything that the flags can set. */
+struct Flags {
+  std::string File;
+  std::string DataCentre;
+  std::string LogUrl;
+  std::string Admin;
+  std::string Resume;
+  std::uint64_t Base = 0;
+  bool Json = false;
+};
+
+std::string checkLogUrl(const std::string &text) {
+  constexpr std::string_view scheme = "http://";
+  const bool good = text.rfind(scheme, 0) == 0 &&
+                    parseAddress(std::string_view(text).substr(scheme.size()));
+  return good ? "" : "expected http://IP:PORT, got '" + text + "'";
+}
+
+std::string checkAdmin(const std::string &text) {
+  return parseAddress(text) ? "" : "expected IP:PORT, got '" + text + "'";
+}
+
+std::optional<RecordId> parseRecordId(std::string_view text) {
+  RecordId id;
+  if (text.size() != id.Bytes.size() * 2) {
+    return std::nullopt;
+  }
+  for (std::size_t n = 0; n < id.Bytes.size(); ++n) {
+    const auto *from = text.data() + 2 * n;
+    const auto parsed = std::from_chars(from, from + 2, id.Bytes[n], 16);
+    if (parsed.ec != std::errc() || parsed.ptr != from + 2) {
+      return std::nullopt;
+    }
+  }
+  return id;
+}
+
+std::string checkRecordId(const std::string &text) {
+  return parseRecordId(text)
+             ? ""
+             : "expected 32 hexadecimal digits, got '" + text + "'";
+}
+
+CLI::App *command(CLI::App &app, Flags &flags, const char *name,
+                  const char *help) {
+  auto *sub = app.add_subcommand(name, help);
+  sub->add_flag("--json", flags.Json, "print JSON");
+  sub->set_version_flag("--version", std::string(ProgramVersion));
+  return sub;
+}
+
+void addLog(CLI::App *sub, Flags &flags) {
+  sub->add_option("--log-url", flags.LogUrl, "the platform's log")
+      ->envname("CHIVEFOLD_LOG_URL")
+      ->required()
+      ->check(checkLogUrl)
+      ->type_name("http://IP:PORT");
+}
+
+void addCommands(CLI::App &app, Flags &flags) {
+  auto *check = command(app, flags, "check", "check a configuration text");
+  check->add_option("FILE", flags.File, "the text")->required();
+  auto *diff = command(app, flags, "diff", "show what a text would change");
+  diff->add_option("FILE", flags.File, "the text")->required();
+  addLog(diff, flags);
+  auto *apply = command(app, flags, "apply", "put a text in force");
+  auto *file = apply->add_option("FILE", flags.File, "the text");
+  apply->add_option("--base", flags.Base, "version that the text was based on");
+  apply
+      ->add_option("--resume", flags.Resume,
+                   "ask what became of an earlier apply")
+      ->check(checkRecordId)
+      ->type_name("ID")
+      ->excludes(file);
+  addLog(apply, flags);
+  for (const auto *name : {"take-out", "put-back"}) {
+    auto *sub = command(app, flags, name,
+                        std::string_view(name) == "take-out"
+                            ? "give a data centre no new work"
+                            : "give a data centre new work again");
+    sub->add_option("DC", flags.DataCentre, "the data centre")->required();
+    addLog(sub, flags);
+  }
+  const std::pair<const char *, const char *> views[] = {
+      {"status", "show a daemon's view of the fleet"},
+      {"moves", "show moves and how they ended"},
+      {"report", "show a daemon's report"}};
+  for (const auto &it : views) {
+    command(app, flags, it.first, it.second)
+        ->add_option("--admin", flags.Admin, "admin address of a daemon")
+        ->envname("CHIVEFOLD_ADMIN")
+        ->required()
+        ->check(checkAdmin)
+        ->type_name("IP:PORT");
+  }
+}
+
+OperatorResult badInput(const std::string &message) {
+  return {OperatorExit::BadInput, "", message};
+}
+
+std::optional<std::string> readFile(const std::string &path) {
+  std::ifstream in(path, std::ios::binary);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return in ? std::optional<std::string>(text.str()) : std::nullopt;
+}
+
+OperatorResult runTextCommand(const CLI::App &sub, const Flags &flags,
+                              OperatorContext &context) {
+  ApplyOptions options{flags.LogUrl, std::nullopt, flags.Json};
+  if (!flags.Resume.empty()) {
+    return resumeApply(*parseRecordId(flags.Resume), context, options);
+  }
+  if (flags.File.empty()) {
+    return badInput("apply: expected FILE or --resume ID");
+  }
+  const auto text = readFile(flags.File);
+  if (!text) {
+    return badInput("cannot read " + flags.File);
+  }
+  const auto name = sub.get_name();
+  auto result = name == "check" ? checkText(*text, context, flags.Json)
+                : name == "diff"
+                    ? diffText(*text, context, flags.LogUrl, flags.Json)
+                    : OperatorResult();
+  if (name == "apply") {
+    if (sub.count("--base") != 0) {
+      options.Base = Version{flags.Base};
+    }
+    result = applyText(*text, context, options);
+  }
+  if (result.Exit == OperatorExit::BadInput && !result.Error.empty()) {
+    result.Error = flags.File + ": " + result.Error;
+  }
+  return result;
+}
+
+OperatorResult runCommand(const CLI::App &sub, const Flags &flags,
+                          OperatorContext &context) {
+  const auto name = sub.get_name();
+  if (name == "take-out" || name == "put-back") {
+    return setDataCentre(flags.DataCentre, name == "take-out", context,
+                         flags.LogUrl, flags.Json);
+  }
+  if (flags.Admin.empty()) {
+    return runTextCommand(sub, flags, context);
+  }
+  const auto view = name == "status"  ? OperatorView::Status
+                    : name == "moves" ? OperatorView::Moves
+                                      : OperatorView::Report;
+  return showView(view, context, *parseAddress(flags.Admin), flags.Json);
+}
+
+} // namespace
+
+OperatorResult runOperator(int argc, const char *const *argv,
+                           OperatorContext &context) {
+  Flags flags;
+  CLI::App app("chivefold: configuration of the service mesh");
+  app.set_version_flag("--version", std::string(ProgramVersion));
+  app.require_subcommand(1);
+  addCommands(app, flags);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::CallForHelp &) {
+    const auto subs = app.get_subcommands();
+    return {OperatorExit::Ok,
+            subs.empty() ? app.help() : subs.front()->help("chivefold"), ""};
+  } catch (const CLI::CallForVersion &) {
+    return {OperatorExit::Ok, std::string(ProgramVersion) + "\n", ""};
+  } catch (const CLI::ParseError &e) {
+    return badInput(e.what());
+  }
+  return runCommand(*app.get_subcommands().front(), flags, context);
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/src/daemon/operator_http.cpp
@@ -0,0 +1,95 @@
+#include "chivefold/daemon/operator_commands.h"
+
+#include <cstdlib>
+#include <curl/curl.h>
+
+namespace chivefold {
+namespace {
+
+/** Largest answer: a full read of the log or the state of a large fleet. */
+constexpr std::size_t MaxAnswerBytes = 64U << 20U;
+
+std::size_t appendBody(char *data, std::size_t size, std::size_t count,
+                       void *to) {
+  auto &body = *static_cast<std::string *>(to);
+  if (body.size() + size * count > MaxAnswerBytes) {
+    return 0;
+  }
+  body.append(data, size * count);
+  return size * count;
+}
+
+std::size_t readHeader(char *data, std::size_t size, std::size_t count,
+                       void *to) {
+  auto &response = *static_cast<PlainResponse *>(to);
+  const std::string line(data, size * count);
+  const auto colon = line.find(':');
+  if (colon != std::string::npos) {
+    const auto name = line.substr(0, colon);
+    const auto is = [&](const char *wanted) {
+      return name.size() == std::string_view(wanted).size() &&
+             curl_strequal(name.c_str(), wanted) != 0;
+    };
+    const auto value =
+        LogOffset{std::strtoull(line.c_str() + colon + 1, nullptr, 10)};
+    if (is("Log-Next")) {
+      response.LogNext = value;
+    } else if (is("Log-First")) {
+      response.LogFirst = value;
+    }
+  }
+  return size * count;
+}
+
+class CurlHttp : public PlainHttp {
+public:
+  explicit CurlHttp(std::chrono::milliseconds timeout) : Timeout(timeout) {
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+  }
+  ~CurlHttp() override { curl_global_cleanup(); }
+
+  Result<PlainResponse> request(const std::string &method,
+                                const std::string &url,
+                                const std::string &body) override {
+    const std::unique_ptr<CURL, void (*)(CURL *)> curl(curl_easy_init(),
+                                                       curl_easy_cleanup);
+    PlainResponse response;
+    auto *c = curl.get();
+    curl_easy_setopt(c, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(c, CURLOPT_PROXY, "");
+    curl_easy_setopt(c, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(c, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(c, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(c, CURLOPT_FORBID_REUSE, 1L);
+    curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, static_cast<long>(Timeout.count()));
+    curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, appendBody);
+    curl_easy_setopt(c, CURLOPT_WRITEDATA, &response.Body);
+    curl_easy_setopt(c, CURLOPT_HEADERFUNCTION, readHeader);
+    curl_easy_setopt(c, CURLOPT_HEADERDATA, &response);
+    if (method == "POST") {
+      curl_easy_setopt(c, CURLOPT_POST, 1L);
+      curl_easy_setopt(c, CURLOPT_POSTFIELDS, body.data());
+      curl_easy_setopt(c, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(body.size()));
+    }
+    const auto rc = curl_easy_perform(c);
+    if (rc != CURLE_OK) {
+      return Reason{ErrorCode::ConnectionFailed, curl_easy_strerror(rc)};
+    }
+    long status = 0;
+    curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &status);
+    response.Status = static_cast<int>(status);
+    return response;
+  }
+
+private:
+  std::chrono::milliseconds Timeout;
+};
+
+} // namespace
+
+std::unique_ptr<PlainHttp> makePlainHttp(std::chrono::milliseconds timeout) {
+  return std::make_unique<CurlHttp>(timeout);
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/src/daemon/operator_log.cpp
@@ -0,0 +1,195 @@
+#include "chivefold/daemon/operator_commands.h"
+
+#include "chivefold/core/control_snapshot.h"
+#include "chivefold/io/log_client.h"
+
+#include <algorithm>
+
+namespace chivefold {
+namespace {
+
+Reason logUnavailable(const std::string &why) {
+  return {ErrorCode::LogUnavailable, "the log gives no answer: " + why};
+}
+
+} // namespace
+
+OperatorLog::OperatorLog(OperatorContext &context, std::string baseUrl)
+    : Context(context), BaseUrl(std::move(baseUrl)) {}
+
+Result<PlainResponse> OperatorLog::read(LogOffset from) {
+  const auto url = BaseUrl + "/read?from=" + std::to_string(raw(from)) +
+                   "&max=" + std::to_string(LogLimits::MaxReadRecords) +
+                   "&wait_ms=0";
+  std::string why;
+  for (int n = 0; n < MaxTries; ++n) {
+    if (n > 0) {
+      Context.Sleep(RetryPause);
+    }
+    auto response = Context.Http.request("GET", url, "");
+    if (response && (response->Status == 200 || response->Status == 410)) {
+      return response;
+    }
+    why = response ? "status " + std::to_string(response->Status)
+                   : response.reason().Message;
+  }
+  return logUnavailable(why);
+}
+
+Status OperatorLog::applyBatch(const PlainResponse &response, LogOffset from) {
+  const auto entries = parseLogEntries(response.Body, from);
+  if (!entries) {
+    return entries.reason();
+  }
+  for (const auto &it : *entries) {
+    const auto applied = State.apply(it);
+    if (!applied) {
+      return applied.reason();
+    }
+    const auto record = decodeRecord(it.Bytes);
+    if (record) {
+      Writers[it.Offset] = record->Writer;
+      if (Writers.size() > MaxWriters) {
+        Writers.erase(Writers.begin());
+      }
+    }
+  }
+  return Done{};
+}
+
+Status OperatorLog::recoverTrimmed(LogOffset first) {
+  SnapshotAssembler assembler;
+  auto from = first;
+  while (true) {
+    const auto response = read(from);
+    if (!response) {
+      return response.reason();
+    }
+    const auto entries = parseLogEntries(response->Body, from);
+    if (!entries) {
+      return entries.reason();
+    }
+    for (const auto &it : *entries) {
+      const auto record = decodeRecord(it.Bytes);
+      const auto *part =
+          record ? std::get_if<SnapshotPartRecord>(&record->Body) : nullptr;
+      auto state = part != nullptr ? assembler.add(*part) : std::nullopt;
+      // A snapshot from before the retained records leaves a gap.
+      if (state && raw(state->applied()) + 1 >= raw(first)) {
+        State = std::move(*state);
+        return Done{};
+      }
+    }
+    if (entries->empty()) {
+      return Reason{ErrorCode::LogTrimmed,
+                    "the log retains no snapshot that its records continue"};
+    }
+    from = LogOffset{raw(entries->back().Offset) + 1};
+  }
+}
+
+Status OperatorLog::readToTail() {
+  bool recovered = false;
+  while (true) {
+    const auto from = LogOffset{raw(State.applied()) + 1};
+    const auto response = read(from);
+    if (!response) {
+      return response.reason();
+    }
+    if (response->Status == 410) {
+      if (recovered || response->LogFirst <= from) {
+        return Reason{ErrorCode::LogTrimmed,
+                      "the log no longer retains " + std::to_string(raw(from))};
+      }
+      recovered = true;
+      auto status = recoverTrimmed(response->LogFirst);
+      if (!status) {
+        return status;
+      }
+      continue;
+    }
+    auto status = applyBatch(*response, from);
+    if (!status) {
+      return status;
+    }
+    if (State.applied() < from ||
+        raw(State.applied()) + 1 >= raw(response->LogNext)) {
+      return Done{};
+    }
+  }
+}
+
+Status OperatorLog::appendOne(const Record &record) {
+  const auto bytes = encodeRecord(record);
+  bool mayBeThere = false;
+  for (int n = 0; n < MaxTries; ++n) {
+    if (n > 0) {
+      Context.Sleep(RetryPause);
+    }
+    if (mayBeThere) {
+      // The answer was lost: look for the record before it is sent again. A
+      // second copy with the same id is ignored by all readers.
+      if (!readToTail()) {
+        continue;
+      }
+      if (State.verdict(record.Id)) {
+        return Done{};
+      }
+    }
+    const auto response =
+        Context.Http.request("POST", BaseUrl + "/append", bytes);
+    if (response && response->Status == 200) {
+      return Done{};
+    }
+    if (response && response->Status >= 400 && response->Status < 500) {
+      return Reason{ErrorCode::InvalidArgument,
+                    "the log refused the record with status " +
+                        std::to_string(response->Status)};
+    }
+    mayBeThere = true;
+  }
+  if (readToTail() && State.verdict(record.Id)) {
+    return Done{};
+  }
+  // Even if the record is not found now, an append may still be on its way.
+  return Reason{ErrorCode::OutcomeUnknown, "the log gives no answer"};
+}
+
+Result<Verdict> OperatorLog::append(const std::vector<Record> &records) {
+  for (const auto &it : records) {
+    const auto status = appendOne(it);
+    if (!status && &it != &records.back()) {
+      return Reason{ErrorCode::LogUnavailable,
+                    "not in force, the commit was not appended: " +
+                        status.reason().Message};
+    }
+    if (!status) {
+      return status.reason();
+    }
+  }
+  const auto read = readToTail();
+  if (!read) {
+    return Reason{ErrorCode::OutcomeUnknown, read.reason().Message};
+  }
+  const auto verdict = find(records.back().Id);
+  if (!verdict) {
+    return Reason{ErrorCode::OutcomeUnknown,
+                  "the record is not in the log yet"};
+  }
+  return verdict;
+}
+
+Result<Verdict> OperatorLog::find(const RecordId &id) const {
+  const auto verdict = State.verdict(id);
+  if (!verdict) {
+    return Reason{ErrorCode::NotFound, "no record " + toString(id)};
+  }
+  return *verdict;
+}
+
+std::string OperatorLog::writerAt(LogOffset offset) const {
+  const auto it = Writers.find(offset);
+  return it == Writers.end() ? "" : it->second;
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/tests/unit/operator_test.cpp
@@ -0,0 +1,168 @@
+#include "chivefold/daemon/operator_commands.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+
+using namespace chivefold;
+
+namespace {
+
+enum class Fault { None, AnswerLost, RequestLost, Down };
+
+/** A log in memory; each append takes the next fault. */
+class FakeLog : public PlainHttp {
+public:
+  std::vector<std::string> Records;
+  std::deque<Fault> Faults;
+  /** Appended by a rival just before the next append. */
+  std::string Rival;
+  bool Down = false;
+
+  Result<PlainResponse> request(const std::string &method,
+                                const std::string &url,
+                                const std::string &body) override {
+    if (Down) {
+      return Reason{ErrorCode::ConnectionFailed, "refused"};
+    }
+    return method == "POST" ? append(body) : read(url);
+  }
+
+private:
+  Result<PlainResponse> append(const std::string &body) {
+    const auto fault = Faults.empty() ? Fault::None : Faults.front();
+    if (!Faults.empty()) {
+      Faults.pop_front();
+    }
+    if (!Rival.empty()) {
+      Records.push_back(std::exchange(Rival, ""));
+    }
+    Down = fault == Fault::Down;
+    if (fault != Fault::RequestLost && fault != Fault::Down) {
+      Records.push_back(body);
+    }
+    if (fault != Fault::None) {
+      return Reason{ErrorCode::ConnectionFailed, "timed out"};
+    }
+    return PlainResponse{200, std::to_string(Records.size()), {}, {}};
+  }
+
+  PlainResponse read(const std::string &url) {
+    const auto from = std::stoul(url.substr(url.find("from=") + 5));
+    PlainResponse response{200, "", LogOffset{Records.size() + 1},
+                           LogOffset{1}};
+    for (auto n = from; n <= Records.size(); ++n) {
+      const auto add = [&](std::uint64_t value, int bytes) {
+        for (; bytes > 0; --bytes, value >>= 8U) {
+          response.Body += static_cast<char>(value & 0xFFU);
+        }
+      };
+      add(n, 8);
+      add(Records[n - 1].size(), 4);
+      response.Body += Records[n - 1];
+    }
+    return response;
+  }
+};
+
+struct Fixture {
+  FakeLog Log;
+  std::uint8_t LastId = 0;
+  OperatorContext Context{Log, [this] { return RecordId{{++LastId}}; },
+                          [] { return UtcTime(); },
+                          [](std::chrono::milliseconds) {}, "asha"};
+
+  OperatorResult apply(const std::string &text,
+                       std::optional<Version> base = std::nullopt) {
+    return applyText(text, Context, {"http://127.0.0.1:1", base, false});
+  }
+};
+
+std::string textWith(const char *centres) {
+  return std::string("[fleet]\ndata_centres = ") + centres + "\n";
+}
+
+std::string rivalChange(Version base) {
+  Section s;
+  s.FleetSettings = Fleet{{"z"}, {}};
+  return encodeRecord({RecordId{{99}}, "bilal", ChangeRecord{base, {s}}});
+}
+
+} // namespace
+
+// Guards against an apply that appends for a bad or an unchanged text.
+TEST_CASE("apply appends only real changes", "[operator]") {
+  Fixture f;
+  const auto bad = f.apply("[fleet]\n");
+  CHECK(bad.Exit == OperatorExit::BadInput);
+  CHECK_THAT(bad.Error, Catch::StartsWith("line 1, column 1: "));
+  CHECK(f.Log.Records.empty());
+  CHECK(f.apply(textWith("['a']")).Output == "accepted at offset 1\n");
+  const auto same = f.apply(textWith("['a']"));
+  CHECK(same.Exit == OperatorExit::Ok);
+  CHECK_THAT(same.Output, Catch::Contains("nothing was appended"));
+  CHECK(f.Log.Records.size() == 1);
+}
+
+// Guards against a lost race that is reported as accepted.
+TEST_CASE("apply reports a lost race", "[operator]") {
+  Fixture f;
+  f.Log.Rival = rivalChange(Version::None);
+  const auto lost = f.apply(textWith("['a']"));
+  CHECK(lost.Exit == OperatorExit::Refused);
+  CHECK(lost.Error == "refused, not in force: lost race to offset 1 by bilal");
+  // A stale base loses even when nothing races.
+  CHECK(f.apply(textWith("['a']"), Version::None).Exit ==
+        OperatorExit::Refused);
+}
+
+// Guards against a lost answer that is reported as a failure, or appended
+// twice although the record is there.
+TEST_CASE("apply resolves lost answers", "[operator]") {
+  Fixture f;
+  f.Log.Faults = {Fault::AnswerLost};
+  CHECK(f.apply(textWith("['a']")).Output == "accepted at offset 1\n");
+  CHECK(f.Log.Records.size() == 1);
+  f.Log.Faults = {Fault::RequestLost};
+  CHECK(f.apply(textWith("['b']")).Output == "accepted at offset 2\n");
+  CHECK(f.Log.Records.size() == 2);
+}
+
+// Guards against a guess when the log cannot be asked.
+TEST_CASE("apply says unknown while the log is down", "[operator]") {
+  Fixture f;
+  f.Log.Faults = {Fault::Down};
+  const auto unknown = f.apply(textWith("['a']"));
+  CHECK(unknown.Exit == OperatorExit::Unknown);
+  CHECK_THAT(
+      unknown.Error,
+      Catch::Contains("apply --resume 01000000000000000000000000000000"));
+  f.Log.Down = true;
+  const auto unread = f.apply(textWith("['a']"));
+  CHECK(unread.Exit == OperatorExit::Unknown);
+  CHECK_THAT(unread.Error, Catch::Contains("nothing was appended"));
+  f.Log.Down = false;
+  CHECK(resumeApply(RecordId{{1}}, f.Context, {"http://x", {}, false}).Exit ==
+        OperatorExit::Unknown);
+  CHECK(f.apply(textWith("['a']")).Exit == OperatorExit::Ok);
+  CHECK(resumeApply(RecordId{{2}}, f.Context, {"http://x", {}, false}).Output ==
+        "accepted at offset 1\n");
+}
+
+// Guards against bad flags that are taken as something else.
+TEST_CASE("operator flags are checked", "[operator]") {
+  Fixture f;
+  const auto exit = [&](std::vector<const char *> args) {
+    args.insert(args.begin(), "chivefold");
+    return runOperator(static_cast<int>(args.size()), args.data(), f.Context)
+        .Exit;
+  };
+  CHECK(exit({"--version"}) == OperatorExit::Ok);
+  CHECK(exit({"apply", "--help"}) == OperatorExit::Ok);
+  CHECK(exit({}) == OperatorExit::BadInput);
+  CHECK(exit({"check", "/nonexistent"}) == OperatorExit::BadInput);
+  CHECK(exit({"status", "--admin", "localhost"}) == OperatorExit::BadInput);
+  CHECK(exit({"apply", "--log-url", "http://127.0.0.1:1"}) ==
+        OperatorExit::BadInput);
+  CHECK(exit({"apply", "--resume", "12", "--log-url", "http://127.0.0.1:1"}) ==
+        OperatorExit::BadInput);
+}
