Make the demo pass

'chivefold check' showed a report and crashed when CHIVEFOLD_ADMIN was set: the command was chosen by flags, CLI11 reads the variables of all commands, and items() was called on a temporary.

--- a/src/daemon/operator_commands.cpp
+++ b/src/daemon/operator_commands.cpp
@@ -3,6 +3,7 @@
 #include "chivefold/daemon/version.h"
 
 #include <CLI/CLI.hpp>
+#include <array>
 #include <charconv>
 #include <fstream>
 #include <sstream>
@@ -148,6 +149,11 @@
   return result;
 }
 
+constexpr std::array<std::pair<std::string_view, OperatorView>, 3> Views = {
+    {{"status", OperatorView::Status},
+     {"moves", OperatorView::Moves},
+     {"report", OperatorView::Report}}};
+
 OperatorResult runCommand(const CLI::App &sub, const Flags &flags,
                           OperatorContext &context) {
   const auto name = sub.get_name();
@@ -155,13 +161,15 @@
     return setDataCentre(flags.DataCentre, name == "take-out", context,
                          flags.LogUrl, flags.Json);
   }
-  if (flags.Admin.empty()) {
-    return runTextCommand(sub, flags, context);
+  // The command decides, not the flags: CLI11 also reads the environment
+  // variables of commands that were not given.
+  for (const auto &it : Views) {
+    if (it.first == name) {
+      return showView(it.second, context, *parseAddress(flags.Admin),
+                      flags.Json);
+    }
   }
-  const auto view = name == "status"  ? OperatorView::Status
-                    : name == "moves" ? OperatorView::Moves
-                                      : OperatorView::Report;
-  return showView(view, context, *parseAddress(flags.Admin), flags.Json);
+  return runTextCommand(sub, flags, context);
 }
 
 } // namespace
--- a/src/daemon/operator_views.cpp
+++ b/src/daemon/operator_views.cpp
@@ -82,7 +82,9 @@
 /** The report's members are the daemon's choice, so it is shown by path. */
 std::string report(const json &value) {
   std::vector<Row> rows;
-  for (const auto &it : value.flatten().items()) {
+  // items() refers to the value it is called on, so that must not be temporary.
+  const auto flat = value.flatten();
+  for (const auto &it : flat.items()) {
     rows.push_back({it.key(), it.value().dump(-1, ' ', false,
                                               json::error_handler_t::replace)});
   }
--- a/tests/e2e/atlas.sh
+++ b/tests/e2e/atlas.sh
@@ -41,7 +41,7 @@
 
 [[service.depot-ledger.route]]
 method = "POST"
-path = "/payouts"
+path = "/credits"
 kind = "payout"
 worth = 10
 timeout_ms = 3000
