--- a/tests/unit/member_table_test.cpp
+++ b/tests/unit/member_table_test.cpp
@@ -122,6 +122,12 @@
   CHECK(t.find(old.Peer)->BootId == 3);
   CHECK(raw(t.floorOf(old.Peer)) == 77);
   CHECK_FALSE(t.merge(inState(old, MemberState::Unreachable), Start));
+  // At equal incarnation all daemons must choose the same run.
+  auto tie = *t.find(old.Peer);
+  tie.BootId = 2;
+  CHECK_FALSE(t.merge(inState(tie, MemberState::Left), Start));
+  tie.BootId = 4;
+  CHECK(t.merge(tie, Start));
 }
 
 // Guards against members that are never probed and so never found dead.
