Test that five peers are needed while the log is down

Cause: a deliberate fault in the peer count of the recovery went unnoticed, since the check of data centres hid it.

--- a/tests/unit/dissemination_test.cpp
+++ b/tests/unit/dissemination_test.cpp
@@ -189,6 +189,21 @@
   CHECK(ready(50));
 }
 
+// Guards against trusting a few stale peers of a large fleet.
+TEST_CASE("five peers are needed while the log is down", "[recovery]") {
+  Recovery r;
+  r.logUnavailable();
+  for (std::uint16_t port = 1; port <= Recovery::PeersNeeded; ++port) {
+    CHECK_FALSE(r.update({LogOffset{9}, 100, 2}).Ready);
+    r.peerAnswered({{"127.0.0.1", port},
+                    port % 2 == 0 ? "east" : "west",
+                    true,
+                    LogOffset{9},
+                    {}});
+  }
+  CHECK(r.update({LogOffset{9}, 100, 2}).Ready);
+}
+
 // Guards against a fleet that stays down because daemons that hold no state
 // wait for each other.
 TEST_CASE("peers that are starting are not waited for", "[recovery]") {
