--- a/src/daemon/operator_commands.cpp
+++ b/src/daemon/operator_commands.cpp
@@ -131,7 +131,7 @@
   if (!text) {
     return badInput("cannot read " + flags.File);
   }
-  const auto name = sub.get_name();
+  const auto &name = sub.get_name();
   auto result = name == "check" ? checkText(*text, context, flags.Json)
                 : name == "diff"
                     ? diffText(*text, context, flags.LogUrl, flags.Json)
@@ -150,7 +150,7 @@
 
 OperatorResult runCommand(const CLI::App &sub, const Flags &flags,
                           OperatorContext &context) {
-  const auto name = sub.get_name();
+  const auto &name = sub.get_name();
   if (name == "take-out" || name == "put-back") {
     return setDataCentre(flags.DataCentre, name == "take-out", context,
                          flags.LogUrl, flags.Json);
--- a/src/daemon/operator_log.cpp
+++ b/src/daemon/operator_log.cpp
@@ -171,7 +171,7 @@
   if (!read) {
     return Reason{ErrorCode::OutcomeUnknown, read.reason().Message};
   }
-  const auto verdict = find(records.back().Id);
+  auto verdict = find(records.back().Id);
   if (!verdict) {
     return Reason{ErrorCode::OutcomeUnknown,
                   "the record is not in the log yet"};
