--- a/src/daemon/operator_commands.cpp
+++ b/src/daemon/operator_commands.cpp
@@ -132,7 +132,7 @@
   if (!text) {
     return badInput("cannot read " + flags.File);
   }
-  const auto name = sub.get_name();
+  const auto &name = sub.get_name();
   auto result = name == "check" ? checkText(*text, context, flags.Json)
                 : name == "diff"
                     ? diffText(*text, context, flags.LogUrl, flags.Json)
@@ -156,7 +156,7 @@
 
 OperatorResult runCommand(const CLI::App &sub, const Flags &flags,
                           OperatorContext &context) {
-  const auto name = sub.get_name();
+  const auto &name = sub.get_name();
   if (name == "take-out" || name == "put-back") {
     return setDataCentre(flags.DataCentre, name == "take-out", context,
                          flags.LogUrl, flags.Json);
