--- a/include/chivefold/io/logging.h
+++ b/include/chivefold/io/logging.h
@@ -54,7 +54,7 @@
 
   /** @param prefix fixed name of the part. @param seconds a monotonic clock in
    * whole seconds; empty for that of the host. */
-  explicit Logger(std::string prefix, Seconds seconds = {});
+  explicit Logger(const std::string &prefix, Seconds seconds = {});
   ~Logger();
   Logger(const Logger &) = delete;
   Logger &operator=(const Logger &) = delete;
--- a/src/io/hangup_watch.cpp
+++ b/src/io/hangup_watch.cpp
@@ -7,8 +7,8 @@
 
 HangupWatch::HangupWatch(ACE_Reactor &reactor,
                          std::function<void(void *key)> task)
-    : Ace(reactor), Task(std::move(task)),
-      Epoll(epoll_create1(EPOLL_CLOEXEC)) {}
+    : Ace(reactor), Task(std::move(task)), Epoll(epoll_create1(EPOLL_CLOEXEC)) {
+}
 
 HangupWatch::~HangupWatch() {
   Watch.reset();
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -15,8 +15,8 @@
 constexpr std::size_t MaxQueuedCalls = 4096;
 
 void initCurl() {
-  static const CURLcode Once = curl_global_init(CURL_GLOBAL_ALL);
-  (void)Once;
+  static const CURLcode once = curl_global_init(CURL_GLOBAL_ALL);
+  (void)once;
 }
 
 } // namespace
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -50,7 +50,7 @@
   }
   ~Exchange() override {
     if (Owner != nullptr) {
-      respond({503, {}, ""});
+      answer({503, {}, ""});
     }
   }
   Exchange(const Exchange &) = delete;
@@ -58,7 +58,9 @@
 
   const HttpRequest &request() const override { return Received; }
 
-  void respond(HttpResponse response) override {
+  void respond(HttpResponse response) override { answer(std::move(response)); }
+
+  void answer(HttpResponse response) {
     if (Owner == nullptr) {
       return;
     }
@@ -221,8 +223,8 @@
     return Reason{ErrorCode::InvalidArgument, "not an IP address"};
   }
   Daemon = MHD_start_daemon(
-      flags, 0, nullptr, nullptr, &Impl::onRequest, this,
-      MHD_OPTION_SOCK_ADDR, address, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+      flags, 0, nullptr, nullptr, &Impl::onRequest, this, MHD_OPTION_SOCK_ADDR,
+      address, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
       MHD_OPTION_CONNECTION_LIMIT, HttpLimits::MaxConnections,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionMemory,
       MHD_OPTION_CONNECTION_TIMEOUT, IdleTimeoutSeconds,
@@ -339,8 +341,8 @@
 MHD_Result HttpServer::Impl::dispatch(Context &context) {
   context.Dispatched = true;
   ++OpenCount;
-  Handler(std::make_shared<Exchange>(context,
-                                     [this](Context &c) { resume(c); }));
+  Handler(
+      std::make_shared<Exchange>(context, [this](Context &c) { resume(c); }));
   if (context.Ready) {
     return answer(context, context.Response);
   }
--- a/src/io/log_client.cpp
+++ b/src/io/log_client.cpp
@@ -108,8 +108,8 @@
       return Reason{ErrorCode::InvalidRecord,
                     "an entry is cut off or out of order"};
     }
-    entries.push_back({static_cast<LogOffset>(offset),
-                       std::string(body.substr(0, n))});
+    entries.push_back(
+        {static_cast<LogOffset>(offset), std::string(body.substr(0, n))});
     body.remove_prefix(n);
     least = offset + 1;
   }
@@ -159,12 +159,12 @@
 void LogClient::Impl::append(std::string bytes, TimePoint deadline,
                              AppendCallback done) {
   if (bytes.size() > MaxRecordBytes) {
-    Loop.schedule(Loop.now(), [weak = weak_from_this(),
-                               done = std::move(done)] {
-      if (weak.lock()) {
-        done(Reason{ErrorCode::TooLarge, "record too large"}, false);
-      }
-    });
+    Loop.schedule(
+        Loop.now(), [weak = weak_from_this(), done = std::move(done)] {
+          if (weak.lock()) {
+            done(Reason{ErrorCode::TooLarge, "record too large"}, false);
+          }
+        });
     return;
   }
   HttpCall call;
@@ -175,8 +175,8 @@
   // A record that libcurl sends twice gets two offsets, and readers use the
   // first, of which this call would not learn.
   call.FreshConnection = true;
-  Http.start(std::move(call), [weak = weak_from_this(),
-                               done = std::move(done)](HttpOutcome outcome) {
+  Http.start(std::move(call), [weak = weak_from_this(), done = std::move(done)](
+                                  const HttpOutcome &outcome) {
     if (weak.lock()) {
       auto result = appendResult(outcome);
       const bool mayHave = !result && outcome.MayHaveRun;
@@ -198,7 +198,8 @@
   call.Deadline = std::min(deadline, Loop.now() + wait + AnswerTime);
   call.MaxResponseBytes = MaxReadBytes;
   Http.start(std::move(call), [weak = weak_from_this(), from, max,
-                               done = std::move(done)](HttpOutcome outcome) {
+                               done = std::move(done)](
+                                  const HttpOutcome &outcome) {
     if (!weak.lock()) {
       return;
     }
@@ -299,10 +300,10 @@
 }
 
 void LogClient::Impl::end(const Shared &c, const std::string &why) {
-  c->Done(unavailable(why + (c->Uncertain
-                                 ? "; the record may have taken effect"
-                                 : "; the record has not taken effect")),
-          c->Uncertain);
+  c->Done(
+      unavailable(why + (c->Uncertain ? "; the record may have taken effect"
+                                      : "; the record has not taken effect")),
+      c->Uncertain);
 }
 
 LogClient::LogClient(Reactor &reactor, HttpClient &http, std::string baseUrl,
--- a/src/io/logging.cpp
+++ b/src/io/logging.cpp
@@ -56,13 +56,13 @@
   if (!needsQuotes(value)) {
     return std::string(value);
   }
-  constexpr std::string_view Digits = "0123456789abcdef";
+  constexpr std::string_view digits = "0123456789abcdef";
   std::string out = "\"";
   for (const unsigned char c : value) {
     if (c < ' ' || c == 0x7f) {
       out += "\\x";
-      out += Digits[c >> 4U];
-      out += Digits[c & 15U];
+      out += digits[c >> 4U];
+      out += digits[c & 15U];
     } else {
       if (c == '"' || c == '\\') {
         out += '\\';
@@ -91,8 +91,7 @@
 }
 
 Status setLogLevel(std::string_view name) {
-  const auto *const it =
-      std::find(LevelNames.begin(), LevelNames.end(), name);
+  const auto *const it = std::find(LevelNames.begin(), LevelNames.end(), name);
   if (it == LevelNames.end()) {
     return Reason{ErrorCode::InvalidArgument,
                   "level is not one of trace, debug, info, warn, error"};
@@ -120,9 +119,8 @@
 
 Logger::Impl::Count &Logger::Impl::countOf(std::string_view message,
                                            std::uint64_t now) {
-  auto it = std::find_if(Counts.begin(), Counts.end(), [&](const Count &c) {
-    return c.Message == message;
-  });
+  auto it = std::find_if(Counts.begin(), Counts.end(),
+                         [&](const Count &c) { return c.Message == message; });
   if (it != Counts.end()) {
     return *it;
   }
@@ -137,7 +135,7 @@
   return *it;
 }
 
-Logger::Logger(std::string prefix, Seconds seconds)
+Logger::Logger(const std::string &prefix, Seconds seconds)
     : State(std::make_unique<Impl>()) {
   State->Target = log4cxx::Logger::getLogger(prefix);
   State->Clock = seconds ? std::move(seconds) : &monotonicSeconds;
--- a/src/io/peer_link.cpp
+++ b/src/io/peer_link.cpp
@@ -78,11 +78,10 @@
     return;
   }
   updateWatch();
-  ConnectTimer =
-      Loop.schedule(Loop.now() + PeerLimits::ConnectTimeout, [this] {
-        ConnectTimer = TimerId::None;
-        fail({ErrorCode::ConnectionFailed, "connect timed out"});
-      });
+  ConnectTimer = Loop.schedule(Loop.now() + PeerLimits::ConnectTimeout, [this] {
+    ConnectTimer = TimerId::None;
+    fail({ErrorCode::ConnectionFailed, "connect timed out"});
+  });
 }
 
 void PeerLink::accept(const ACE_SOCK_Stream &stream) {
@@ -116,9 +115,8 @@
 
 void PeerLink::failLater(Reason reason) {
   if (!Closed && FailTimer == TimerId::None) {
-    FailTimer = Loop.schedule(Loop.now(), [this, reason = std::move(reason)] {
-      fail(reason);
-    });
+    FailTimer = Loop.schedule(
+        Loop.now(), [this, reason = std::move(reason)] { fail(reason); });
   }
 }
 
@@ -246,7 +244,7 @@
     wire::FrameBodyUnion pong;
     wire::LinkPongT answer;
     answer.nonce = ping->nonce;
-    pong.Set(std::move(answer));
+    pong.Set(answer);
     if (!enqueue(encodeFrame(0, std::move(pong)), 0)) {
       failLater({ErrorCode::ConnectionFailed, "the peer does not read"});
     }
@@ -273,9 +271,10 @@
 }
 
 bool PeerLink::withdraw(std::uint64_t requestId) {
-  const auto it = std::find_if(
-      Queue.begin(), Queue.end(),
-      [&](const OutFrame &frame) { return frame.RequestId == requestId; });
+  const auto it =
+      std::find_if(Queue.begin(), Queue.end(), [&](const OutFrame &frame) {
+        return frame.RequestId == requestId;
+      });
   if (it == Queue.end() || (it == Queue.begin() && WrittenBytes > 0)) {
     return false;
   }
@@ -335,7 +334,8 @@
   if (Outstanding.empty() && Served.empty()) {
     return;
   }
-  const auto limit = PeerLimits::SilenceLimit * (Inbound ? AcceptorPatience : 1);
+  const auto limit =
+      PeerLimits::SilenceLimit * (Inbound ? AcceptorPatience : 1);
   if (Open && Loop.now() - HeardAt >= limit) {
     // Bytes may have arrived while this process was paused.
     receive();
--- a/src/io/peer_network.cpp
+++ b/src/io/peer_network.cpp
@@ -123,8 +123,7 @@
       stream.close();
       continue;
     }
-    auto link =
-        std::make_shared<PeerLink>(Loop, *this, addressOf(from), true);
+    auto link = std::make_shared<PeerLink>(Loop, *this, addressOf(from), true);
     touch(*link);
     Links.emplace(link.get(), link);
     link->accept(stream);
@@ -141,9 +140,8 @@
   for (const auto &it : Links) {
     const auto &link = it.second;
     const auto rank = std::make_pair(link->inbound(), link->LastUse);
-    if (link->idle() &&
-        (!oldest ||
-         rank < std::make_pair(oldest->inbound(), oldest->LastUse))) {
+    if (link->idle() && (!oldest || rank < std::make_pair(oldest->inbound(),
+                                                          oldest->LastUse))) {
       oldest = link;
     }
   }
@@ -244,7 +242,7 @@
     wire::FrameBodyUnion body;
     wire::CallCancelT cancel;
     cancel.call_id = id;
-    body.Set(std::move(cancel));
+    body.Set(cancel);
     link->enqueue(encodeFrame(0, std::move(body)), 0);
   }
   return withdrawn;
--- a/src/io/reactor.cpp
+++ b/src/io/reactor.cpp
@@ -125,7 +125,7 @@
     }
     const auto ms = std::max<std::int64_t>((wait.count() + 999) / 1000, 0);
     return ACE_Time_Value(static_cast<time_t>(ms / 1000),
-            static_cast<suseconds_t>(ms % 1000 * 1000));
+                          static_cast<suseconds_t>(ms % 1000 * 1000));
   }
 
   SignalPipe Signals;
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -94,9 +94,8 @@
   f.Held[0]->onAbandoned([&] { abandoned = true; });
   CHECK(f.Server.openRequests() == 1);
   s.reset();
-  CHECK(runUntil(f.Loop, [&] {
-    return abandoned && f.Server.openRequests() == 0;
-  }));
+  CHECK(runUntil(f.Loop,
+                 [&] { return abandoned && f.Server.openRequests() == 0; }));
   f.Held[0]->respond({200, {}, "late"});
   f.Held.clear();
 }
--- a/tests/unit/log_client_test.cpp
+++ b/tests/unit/log_client_test.cpp
@@ -45,8 +45,8 @@
 
   LogFixture() {
     REQUIRE(Server.start());
-    Log = std::make_unique<LogClient>(
-        Loop, Http, "http://" + toString(Server.bound()), 1);
+    Log = std::make_unique<LogClient>(Loop, Http,
+                                      "http://" + toString(Server.bound()), 1);
   }
   void append(HttpExchange &exchange) {
     ++Appends;
@@ -58,22 +58,21 @@
       Records.push_back(exchange.request().Body);
     }
     // Any status but 200 leaves open whether the record was stored.
-    exchange.respond({step < 2 ? 500 : step, {},
-                      std::to_string(Records.size())});
+    exchange.respond(
+        {step < 2 ? 500 : step, {}, std::to_string(Records.size())});
   }
   void read(HttpExchange &exchange) {
     ++Reads;
-    const auto from =
-        std::stoul(queryValue(exchange.request().Query, "from"));
+    const auto from = std::stoul(queryValue(exchange.request().Query, "from"));
     std::string body;
     // Two records at most, so that a search needs several reads.
     for (auto i = from; i <= Records.size() && i < from + 2; ++i) {
       body += encodeEntry(i, Records[i - 1]);
     }
-    exchange.respond({200,
-                      {{"Log-First", "1"},
-                       {"Log-Next", std::to_string(Records.size() + 1)}},
-                      body});
+    exchange.respond(
+        {200,
+         {{"Log-First", "1"}, {"Log-Next", std::to_string(Records.size() + 1)}},
+         body});
   }
   void confirm(Duration limit = std::chrono::seconds(15)) {
     Log->appendConfirmed(
@@ -115,6 +114,26 @@
   CHECK(f.Reads == 2);
 }
 
+// Guards against taking another writer's equal change for the own record.
+TEST_CASE("a record is found by its id", "[log_client]") {
+  LogFixture f;
+  Record record;
+  record.Body = DataCentreRecord{"bouskoura", true};
+  record.Id.Bytes[0] = 1;
+  f.Records = {encodeRecord(record), "not a record"};
+  record.Id.Bytes[0] = 2;
+  f.Script = {0};
+  f.Log->appendConfirmed(record, LogOffset::None,
+                         f.Loop.now() + std::chrono::seconds(15),
+                         [&](const Result<LogOffset> &offset, bool) {
+                           f.Offset = offset;
+                           ++f.Calls;
+                         });
+  REQUIRE(runUntil(f.Loop, [&] { return f.Calls == 1; }));
+  REQUIRE(f.Offset);
+  CHECK(raw(*f.Offset) == 3);
+}
+
 // Guards against endless appends, and a failure that hides that the record may
 // have taken effect.
 TEST_CASE("a failed append says what is known", "[log_client]") {
@@ -165,12 +184,11 @@
   CHECK(read({410, {}, ""}).reason().Code == ErrorCode::LogTrimmed);
   CHECK(read({503, {}, ""}).reason().Code == ErrorCode::LogUnavailable);
   CHECK(read({200, {}, five}).reason().Code == ErrorCode::InvalidRecord);
-  for (const auto &body :
-       {five + five, encodeEntry(4, "a"), five.substr(0, 12),
-        five + five.substr(0, 3), encodeEntry(8, "a"), std::string(9U << 20U, 'x'),
-        five + encodeEntry(6, "") + encodeEntry(7, "")}) {
-    CHECK(read({200, headers, body}).reason().Code ==
-          ErrorCode::InvalidRecord);
+  for (const auto &body : {five + five, encodeEntry(4, "a"), five.substr(0, 12),
+                           five + five.substr(0, 3), encodeEntry(8, "a"),
+                           std::string(9U << 20U, 'x'),
+                           five + encodeEntry(6, "") + encodeEntry(7, "")}) {
+    CHECK(read({200, headers, body}).reason().Code == ErrorCode::InvalidRecord);
   }
 }
 
--- a/tests/unit/peer_network_test.cpp
+++ b/tests/unit/peer_network_test.cpp
@@ -14,7 +14,7 @@
   wire::FetchRecordsT value;
   value.after = after;
   wire::FrameBodyUnion body;
-  body.Set(std::move(value));
+  body.Set(value);
   return body;
 }
 
@@ -42,14 +42,14 @@
 
   PeerFixture() {
     REQUIRE(Server->start());
-    Server->onCancel([this](std::uint64_t token) { Cancelled.push_back(token); });
+    Server->onCancel(
+        [this](std::uint64_t token) { Cancelled.push_back(token); });
   }
   PeerRequestId ask(const Address &to, std::uint64_t n,
                     Duration limit = std::chrono::seconds(15)) {
-    return Client->request(to, fetch(n), Loop.now() + limit,
-                           [this, n](PeerOutcome o) {
-                             Outcomes.emplace(n, std::move(o));
-                           });
+    return Client->request(
+        to, fetch(n), Loop.now() + limit,
+        [this, n](PeerOutcome o) { Outcomes.emplace(n, std::move(o)); });
   }
   bool waitFor(std::size_t outcomes) {
     return runUntil(Loop, [&] { return Outcomes.size() == outcomes; });
@@ -62,18 +62,18 @@
 // the same one.
 TEST_CASE("crossed answers reach their own requests", "[peer_network]") {
   PeerFixture f;
-  constexpr std::uint64_t N = 100;
-  for (std::uint64_t i = 0; i < N; ++i) {
+  constexpr std::uint64_t n = 100;
+  for (std::uint64_t i = 0; i < n; ++i) {
     f.ask(f.Server->bound(), i);
   }
   f.Client->send(f.Server->bound(), fetch(0));
-  REQUIRE(runUntil(f.Loop,
-                   [&] { return f.Waiting.size() == N && f.OneWay == 1; }));
+  REQUIRE(
+      runUntil(f.Loop, [&] { return f.Waiting.size() == n && f.OneWay == 1; }));
   for (auto it = f.Waiting.rbegin(); it != f.Waiting.rend(); ++it) {
     it->second(fetch(it->first + 1000));
     it->second(fetch(it->first + 5000));
   }
-  REQUIRE(f.waitFor(N));
+  REQUIRE(f.waitFor(n));
   for (const auto &it : f.Outcomes) {
     REQUIRE(it.second.Answer);
     CHECK(it.second.Answer->AsFetchRecords()->after == it.first + 1000);
