Test the descriptor limit of the event loop

Cause: the handle table must hold 2,048 descriptors. Ruled out: asking ACE for its size, which counts registered handlers.

--- a/tests/unit/reactor_test.cpp
+++ b/tests/unit/reactor_test.cpp
@@ -1,9 +1,12 @@
 #include "chivefold/io/reactor.h"
 
+#include <ace/Reactor.h>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <fcntl.h>
 #include <string>
 #include <thread>
+#include <unistd.h>
 
 using namespace chivefold;
 
@@ -53,3 +56,22 @@
   other.join();
   CHECK_FALSE(late);
 }
+
+// Guards against a handle table or a process limit that is too small for the
+// callers, links and calls of a daemon.
+TEST_CASE("the loop holds 2,048 descriptors", "[reactor]") {
+  Reactor reactor;
+  int fds[2] = {}; // NOLINT: type required by pipe()
+  REQUIRE(pipe(fds) == 0);
+  const int last = fcntl(fds[0], F_DUPFD, 2047);
+  REQUIRE(last >= 2047);
+  struct Handler : ACE_Event_Handler {};
+  Handler handler;
+  CHECK(reactor.ace().register_handler(last, &handler,
+                                       ACE_Event_Handler::READ_MASK) == 0);
+  reactor.ace().remove_handler(last, ACE_Event_Handler::READ_MASK |
+                                         ACE_Event_Handler::DONT_CALL);
+  for (const int fd : {fds[0], fds[1], last}) {
+    close(fd);
+  }
+}
