Let the bad version of the end-to-end test be bad

Cause: the move went on although v2 was to fail a third of its calls: the deployment script reset the flags of the new version, so it did not fail. Conclusion: the test now asks for errors in the evidence and for less than a tenth of the calls at the bad version.

--- a/tests/e2e/atlas.sh
+++ b/tests/e2e/atlas.sh
@@ -67,7 +67,7 @@
   start_host "$n" "$2" client-desk "$3" --slots 20 --service-ms 4 \
     --depends "http://$(caller_address "$n")/depot-ledger/credits" "${@:4}" "${backend_flags[@]}"
 }
-backend_flags=()
+[ -v backend_flags ] || backend_flags=()
 
 # Hosts 1 to 3 run depot-ledger, 4 to 11 client-desk v1, 12 to 14 client-desk v2.
 data_centres=(ain-sebaa sidi-maarouf bouskoura)
@@ -83,7 +83,7 @@
     start_client_desk "$n" "${data_centres[$((n - 12))]}" v2 "${new_version_flags[@]}"
   done
 }
-new_version_flags=()
+[ -v new_version_flags ] || new_version_flags=()
 
 # accepted_offset OUTPUT prints the offset of "accepted at offset N".
 accepted_offset() { grep -oE 'accepted at offset [0-9]+' <<<"$1" | grep -oE '[0-9]+$'; }
--- a/tests/e2e/bad_version.sh
+++ b/tests/e2e/bad_version.sh
@@ -17,3 +17,5 @@
   wait_until 5 share_zero "$n" || fail "daemon $n still has a share for the bad version"
 done
 end_load load
+"$build/tools/chivefold" moves --json | jq -r '.moves[0].evidence' | grep -q errors || fail "the evidence names no errors, so the test shows nothing"
+[ "$(count load .versions.v2)" -lt 450 ] || fail "the bad version answered more than a tenth of the calls"
