Report service-level burn over many daemons

Cause: `chivefold report` printed one daemon's JSON by path. Objectives could not be configured, `take-out` needed the log, and the operators' views had no tests.

Changes: a route has an optional `objective`; daemons pass objectives to Metrics when a version comes in force. Metrics also reports the counts behind burn rates and 70 latency buckets. `report` asks several daemons, or the fleet by the new admin_port of members, and prints text, JSON or an HTML page.

Ruled out: averaging burn rates or quantiles of daemons, since neither can be merged; setObjective() creating a series for each kind, since configured but unused kinds would fill the 1,024 series; a time of a move's end from the record, since records carry none, so a daemon notes when it saw the end and replayed ends show their offset; asking members marked unreachable, since each would cost a time-out; exit code 0 for a take-out that is spread but not recorded, since a restart of all daemons would forget it.

Conclusion: the report covers the fleet and names each daemon that is missing.

--- a/include/chivefold/core/configuration.h
+++ b/include/chivefold/core/configuration.h
@@ -41,6 +41,9 @@
   std::uint32_t Worth = 1;
   /** Time that a request gets when its caller states none. */
   std::uint32_t TimeoutMs = 2000;
+  /** Share of calls that are to be good, above 0 and below 1. If routes of one
+   * kind differ, the highest counts. */
+  double Objective = 0.999;
   bool operator==(const Route &o) const;
 };
 
--- a/include/chivefold/core/member_table.h
+++ b/include/chivefold/core/member_table.h
@@ -46,6 +46,8 @@
   /** Highest applied offset known of any run of the daemon at this address. */
   LogOffset Floor = LogOffset::None;
   std::uint16_t CallerPort = 0;
+  /** Port of the operators' HTTP on the same host; 0 if not known. */
+  std::uint16_t AdminPort = 0;
 };
 
 /** Intervals and bounds of the membership protocol. */
--- a/include/chivefold/core/metrics.h
+++ b/include/chivefold/core/metrics.h
@@ -5,6 +5,7 @@
 #ifndef CHIVEFOLD_CORE_METRICS_H
 #define CHIVEFOLD_CORE_METRICS_H
 
+#include "chivefold/core/configuration.h"
 #include "chivefold/core/types.h"
 
 #include <array>
@@ -60,8 +61,20 @@
    * allows. */
   double BurnShort = 0;
   double BurnLong = 0;
+  /** Counts behind the burn rates; unlike rates, those of several daemons can
+   * be added. */
+  WindowCounts Short;
+  WindowCounts Long;
+  /** Calls by latency, see latencyBucketMs(). Quantiles of several daemons can
+   * not be merged, these counts can. */
+  std::array<std::uint64_t, 70> LatencyBuckets{};
 };
 
+/** @return upper bound in milliseconds of a latency bucket. Bounds grow by a
+ * third of an octave (26%) from 0.125 ms; the last one, 1,049 s, is above the
+ * longest timeout and takes everything beyond it. Thread-safe. */
+double latencyBucketMs(std::size_t bucket);
+
 /** All figures at one instant, ordered by service and kind. */
 struct MetricsReport {
   std::vector<SeriesReport> Series;
@@ -72,13 +85,15 @@
   /** 99.9% of calls answered within their timeout. */
   double DefaultObjective = 0.999;
   static constexpr std::size_t MaxSeries = 1024;
+  /** Kinds with an own objective; further ones get the default. */
+  static constexpr std::size_t MaxObjectives = 8192;
   static constexpr std::array<double, 4> Quantiles = {0.5, 0.9, 0.99, 0.999};
   static constexpr std::chrono::minutes ShortWindow{5};
   static constexpr std::chrono::minutes LongWindow{60};
 };
 
 /**
- * Collects samples with bounded memory: about 4 KiB a series and at most
+ * Collects samples with bounded memory: about 5 KiB a series and at most
  * MaxSeries series; samples of further services or kinds are counted in the
  * series "other" of service "other". Not thread-safe.
  */
@@ -94,12 +109,16 @@
 
   /**
    * States the objective of one kind, for samples before and after. Ignored
-   * for a new kind when the table is full, which keeps the default.
+   * for a new kind when MaxObjectives are known, which keeps the default.
    * @param objective share of good calls, in (0, 1).
    */
   void setObjective(std::string_view service, std::string_view kind,
                     double objective);
 
+  /** Replaces all objectives by those of the routes of @p config; of routes of
+   * one kind the highest counts. */
+  void setObjectives(const Configuration &config);
+
   /** @return the figures of all series; windows end at @p now. */
   MetricsReport report(TimePoint now) const;
 
@@ -108,9 +127,11 @@
   using SeriesKey = std::pair<std::string, std::string>;
   bool isFull() const { return All.size() + 1 >= MetricsSettings::MaxSeries; }
   Series &seriesFor(std::string_view service, std::string_view kind);
+  double objectiveOf(const SeriesKey &key) const;
 
   MetricsSettings Settings;
   std::map<SeriesKey, std::unique_ptr<Series>> All;
+  std::map<SeriesKey, double> Objectives;
 };
 
 /** @return the report in the Prometheus text format 0.0.4. Thread-safe. */
--- a/include/chivefold/daemon/admin_service.h
+++ b/include/chivefold/daemon/admin_service.h
@@ -14,7 +14,9 @@
 #include "chivefold/daemon/settings.h"
 #include "chivefold/io/http_server.h"
 
+#include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 
 namespace chivefold {
@@ -39,6 +41,9 @@
   /** Handles a request of an operator. */
   void handle(const std::shared_ptr<HttpExchange> &exchange);
 
+  /** Call after records were applied. */
+  void recordsApplied();
+
   /** Readiness is refused from now on, since the daemon stops. */
   void startLeaving() { Leaving = true; }
 
@@ -59,11 +64,17 @@
   HttpResponse logLevel(const HttpRequest &request);
   HttpResponse takeOut(const HttpRequest &request);
   std::string unreadyReason();
+  nlohmann::json moveJson(const MoveState &move) const;
 
   Reactor &Loop;
   AdminParts Parts;
   const Settings &Own;
   bool Leaving = false;
+  /** Whether records that are applied now are new, not replayed. */
+  bool Live = false;
+  /** When this daemon saw the newest move of a service end; the epoch if it was
+   * not live. One entry for each service that ControlState::moves() lists. */
+  std::map<std::string, std::pair<LogOffset, UtcTime>> MoveEnds;
 };
 
 } // namespace chivefold
--- a/include/chivefold/daemon/operator_commands.h
+++ b/include/chivefold/daemon/operator_commands.h
@@ -55,7 +55,7 @@
 class PlainHttp {
 public:
   virtual ~PlainHttp() = default;
-  /** @param method "GET" or "POST". @return the complete answer, or
+  /** @param method "GET", "POST" or "PUT". @return the complete answer, or
    * ConnectionFailed; the request may nevertheless have had effect. */
   virtual Result<PlainResponse> request(const std::string &method,
                                         const std::string &url,
@@ -152,18 +152,44 @@
 OperatorResult resumeApply(const RecordId &id, OperatorContext &context,
                            const ApplyOptions &options);
 
-/** Takes a data centre out or puts it back. */
+/** Flags of `chivefold take-out` and `put-back`. */
+struct DataCentreOptions {
+  std::string LogUrl;
+  /** A daemon that spreads a take-out at once, with or without the log. Not
+   * used to put back, which adds exposure and so needs the log. */
+  std::optional<Address> Admin;
+  bool Json = false;
+};
+
+/**
+ * Takes a data centre out or puts it back. The exit code is that of the log
+ * record; the output also says whether a daemon spreads the take-out.
+ */
 OperatorResult setDataCentre(const std::string &dataCentre, bool takenOut,
                              OperatorContext &context,
-                             const std::string &logUrl, bool json);
+                             const DataCentreOptions &options);
 
 /** Views of a daemon's state. */
-enum class OperatorView { Status, Moves, Report };
+enum class OperatorView { Status, Moves };
 
 /** Fetches a view from the daemon at @p admin. */
 OperatorResult showView(OperatorView view, OperatorContext &context,
                         const Address &admin, bool json);
 
+/** Flags of `chivefold report`. */
+struct ReportOptions {
+  std::vector<Address> Admins;
+  /** Also ask the members that a daemon lists. */
+  bool WholeFleet = false;
+  bool Json = false;
+  /** Where to write the report as HTML; empty for nowhere. */
+  std::string HtmlFile;
+};
+
+/** Collects and prints the report on service levels, moves and data centres. */
+OperatorResult showReport(OperatorContext &context,
+                          const ReportOptions &options);
+
 } // namespace chivefold
 
 #endif
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -22,9 +22,10 @@
 } // namespace
 
 bool Route::operator==(const Route &o) const {
-  return std::tie(Method, PathPrefix, Kind, Repeatable, Worth, TimeoutMs) ==
-         std::tie(o.Method, o.PathPrefix, o.Kind, o.Repeatable, o.Worth,
-                  o.TimeoutMs);
+  return std::tie(Method, PathPrefix, Kind, Repeatable, Worth, TimeoutMs,
+                  Objective) == std::tie(o.Method, o.PathPrefix, o.Kind,
+                                         o.Repeatable, o.Worth, o.TimeoutMs,
+                                         o.Objective);
 }
 
 bool ServerLimits::operator==(const ServerLimits &o) const {
--- a/src/core/configuration_text.cpp
+++ b/src/core/configuration_text.cpp
@@ -170,9 +170,9 @@
 
   Route readRoute(const Value &value) {
     Route r;
-    const auto &t = In.table(
-        value, "a route",
-        {"method", "path", "kind", "repeatable", "worth", "timeout_ms"});
+    const auto &t = In.table(value, "a route",
+                             {"method", "path", "kind", "repeatable", "worth",
+                              "timeout_ms", "objective"});
     if (const auto *method = In.required(value, t, "method")) {
       r.Method = In.text(*method, isMethod, "an upper-case HTTP method");
     }
@@ -195,6 +195,7 @@
     }
     In.number(t, "worth", MaxLimit, r.Worth);
     In.number(t, "timeout_ms", MaxRouteTimeoutMs, r.TimeoutMs);
+    In.fraction(t, "objective", r.Objective);
     return r;
   }
 
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -9,10 +9,15 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 
 namespace chivefold {
 
+double latencyBucketMs(std::size_t bucket) {
+  return 0.125 * std::exp2(static_cast<double>(bucket) / 3);
+}
+
 namespace {
 
 namespace acc = boost::accumulators;
@@ -63,6 +68,16 @@
   std::array<Bucket, N> Buckets{};
 };
 
+std::size_t latencyBucket(double ms) {
+  constexpr auto last =
+      std::tuple_size_v<decltype(SeriesReport::LatencyBuckets)> - 1;
+  if (ms <= latencyBucketMs(0)) {
+    return 0;
+  }
+  return std::min(last, static_cast<std::size_t>(
+                            std::ceil(3 * std::log2(ms / latencyBucketMs(0)))));
+}
+
 double burnRate(const WindowCounts &counts, double objective) {
   return counts.Calls == 0
              ? 0
@@ -127,9 +142,6 @@
 } // namespace
 
 struct Metrics::Series {
-  explicit Series(double objective) : Figures() {
-    Figures.Objective = objective;
-  }
   SeriesReport Figures;
   Latency LatencyMs{acc::extended_p_square_probabilities =
                         MetricsSettings::Quantiles};
@@ -150,8 +162,7 @@
     it = All.find(key);
   }
   if (it == All.end()) {
-    it = All.emplace(key, std::make_unique<Series>(Settings.DefaultObjective))
-             .first;
+    it = All.emplace(key, std::make_unique<Series>()).first;
     it->second->Figures.Service = key.first;
     it->second->Figures.Kind = key.second;
   }
@@ -167,24 +178,46 @@
   figures.Good += sample.Good ? 1 : 0;
   figures.WorthOffered += sample.Worth;
   figures.WorthServed += sample.Good ? sample.Worth : 0;
-  series.LatencyMs(
-      std::chrono::duration<double, std::milli>(sample.Latency).count());
+  const auto ms =
+      std::chrono::duration<double, std::milli>(sample.Latency).count();
+  series.LatencyMs(ms);
+  ++figures.LatencyBuckets[latencyBucket(ms)];
   series.Short.add(now, sample.Good);
   series.Long.add(now, sample.Good);
 }
 
 void Metrics::setObjective(std::string_view service, std::string_view kind,
                            double objective) {
-  if (!isFull() || All.count(SeriesKey(service, kind)) > 0) {
-    seriesFor(service, kind).Figures.Objective = objective;
+  const SeriesKey key(service, kind);
+  if (Objectives.size() < MetricsSettings::MaxObjectives ||
+      Objectives.count(key) > 0) {
+    Objectives[key] = objective;
+  }
+}
+
+void Metrics::setObjectives(const Configuration &config) {
+  Objectives.clear();
+  for (const auto &service : config.Services) {
+    for (const auto &it : service.second.Routes) {
+      const auto known = Objectives.find({service.first, it.Kind});
+      if (known == Objectives.end() || known->second < it.Objective) {
+        setObjective(service.first, it.Kind, it.Objective);
+      }
+    }
   }
 }
 
+double Metrics::objectiveOf(const SeriesKey &key) const {
+  const auto it = Objectives.find(key);
+  return it == Objectives.end() ? Settings.DefaultObjective : it->second;
+}
+
 MetricsReport Metrics::report(TimePoint now) const {
   MetricsReport out;
   for (const auto &it : All) {
     const auto &series = *it.second;
     auto figures = series.Figures;
+    figures.Objective = objectiveOf(it.first);
     const auto count = acc::count(series.LatencyMs);
     if (count > 0) {
       figures.LatencyMeanMs = acc::mean(series.LatencyMs);
@@ -198,8 +231,10 @@
     }
     figures.BudgetSpent =
         burnRate({count, count - figures.Good}, figures.Objective);
-    figures.BurnShort = burnRate(series.Short.sum(now), figures.Objective);
-    figures.BurnLong = burnRate(series.Long.sum(now), figures.Objective);
+    figures.Short = series.Short.sum(now);
+    figures.Long = series.Long.sum(now);
+    figures.BurnShort = burnRate(figures.Short, figures.Objective);
+    figures.BurnLong = burnRate(figures.Long, figures.Objective);
     out.Series.push_back(std::move(figures));
   }
   return out;
@@ -225,6 +260,21 @@
   return out;
 }
 
+namespace {
+
+/** @return [upper bound in ms, calls] of each bucket that is not empty. */
+nlohmann::json bucketsJson(const SeriesReport &series) {
+  auto list = nlohmann::json::array();
+  for (std::size_t n = 0; n < series.LatencyBuckets.size(); ++n) {
+    if (series.LatencyBuckets[n] > 0) {
+      list.push_back({latencyBucketMs(n), series.LatencyBuckets[n]});
+    }
+  }
+  return list;
+}
+
+} // namespace
+
 std::string toJson(const MetricsReport &report) {
   auto all = nlohmann::json::array();
   for (const auto &it : report.Series) {
@@ -242,7 +292,12 @@
                    {"objective", it.Objective},
                    {"error_budget_spent", it.BudgetSpent},
                    {"burn_rate_5m", it.BurnShort},
-                   {"burn_rate_1h", it.BurnLong}});
+                   {"burn_rate_1h", it.BurnLong},
+                   {"calls_5m", it.Short.Calls},
+                   {"bad_5m", it.Short.Bad},
+                   {"calls_1h", it.Long.Calls},
+                   {"bad_1h", it.Long.Bad},
+                   {"latency_buckets", bucketsJson(it)}});
   }
   // Names come from request paths, so they may not be valid UTF-8.
   return nlohmann::json{{"series", all}}.dump(
--- a/src/core/record_wire.cpp
+++ b/src/core/record_wire.cpp
@@ -79,6 +79,7 @@
     r->repeatable = it.Repeatable;
     r->worth = it.Worth;
     r->timeout_ms = it.TimeoutMs;
+    r->objective = it.Objective;
     w->routes.push_back(std::move(r));
   }
   if (service.Move) {
@@ -126,8 +127,12 @@
     if (!it) {
       return invalidRecord("route without content");
     }
+    // Written so that a value that is not a number is refused too.
+    if (!(it->objective > 0 && it->objective < 1)) {
+      return invalidRecord("objective outside of 0 to 1");
+    }
     s.Routes.push_back({it->method, it->path_prefix, it->kind, it->repeatable,
-                        it->worth, it->timeout_ms});
+                        it->worth, it->timeout_ms, it->objective});
   }
   if (service.move) {
     s.Move = MoveRequest{
--- a/src/core/text_reader.h
+++ b/src/core/text_reader.h
@@ -149,6 +149,23 @@
     to = static_cast<std::uint32_t>(value.as_integer());
   }
 
+  /** Reads an optional number above 0 and below 1. */
+  void fraction(const Value::table_type &t, const char *key, double &to) {
+    const auto it = t.find(key);
+    if (it == t.end()) {
+      return;
+    }
+    const auto &value = it->second;
+    // Written so that "nan" is refused too.
+    if (!value.is_floating() ||
+        !(value.as_floating() > 0 && value.as_floating() < 1)) {
+      fail(value,
+           std::string("expected a number above 0 and below 1 for ") + key);
+      return;
+    }
+    to = value.as_floating();
+  }
+
   static constexpr const char *NameExpected =
       "a name of 1 to 64 letters, digits, '.', '_' or '-'";
 
--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -15,10 +15,11 @@
 }
 
 json toJson(const Member &m) {
-  return {{"address", toString(m.Peer)},  {"data_centre", m.DataCentre},
-          {"region", m.Region},           {"service", m.Service},
-          {"version", m.ServiceVersion},  {"state", memberStateName(m.State)},
-          {"incarnation", m.Incarnation}, {"floor", raw(m.Floor)}};
+  return {{"address", toString(m.Peer)}, {"data_centre", m.DataCentre},
+          {"region", m.Region},          {"service", m.Service},
+          {"version", m.ServiceVersion}, {"state", memberStateName(m.State)},
+          {"admin_port", m.AdminPort},   {"incarnation", m.Incarnation},
+          {"floor", raw(m.Floor)}};
 }
 
 std::string stateOf(const MoveState &m) {
@@ -85,6 +86,34 @@
   exchange->respond(jsonResponse(404, {{"error", "no such endpoint"}}));
 }
 
+void AdminService::recordsApplied() {
+  std::map<std::string, std::pair<LogOffset, UtcTime>> ends;
+  // Records carry no time, and those replayed until the daemon is ready,
+  // including the batch that made it ready, are of the past.
+  const bool live = std::exchange(Live, Parts.Control.readiness().Ready);
+  for (const auto &it : Parts.State.moves()) {
+    const auto known = MoveEnds.find(it.Service);
+    if (!it.Ended) {
+      continue;
+    }
+    if (known != MoveEnds.end() && known->second.first == it.EndOffset) {
+      ends.insert(*known);
+    } else {
+      ends[it.Service] = {it.EndOffset, live ? Loop.utcNow() : UtcTime()};
+    }
+  }
+  MoveEnds = std::move(ends);
+}
+
+json AdminService::moveJson(const MoveState &move) const {
+  auto j = toJson(move, Parts.State);
+  j["share_in_force"] = Parts.Steps.shareOf(move.Service);
+  const auto end = MoveEnds.find(move.Service);
+  const bool known = end != MoveEnds.end() && end->second.second != UtcTime();
+  j["ended_utc"] = known ? toString(end->second.second) : "";
+  return j;
+}
+
 std::string AdminService::unreadyReason() {
   if (Leaving) {
     return "the daemon is stopping";
@@ -151,9 +180,7 @@
     body["members"].push_back(toJson(it));
   }
   for (const auto &it : Parts.State.moves()) {
-    auto move = toJson(it, Parts.State);
-    move["share_in_force"] = Parts.Steps.shareOf(it.Service);
-    body["moves"].push_back(move);
+    body["moves"].push_back(moveJson(it));
   }
   for (const auto &it :
        Parts.State.configuration()->FleetSettings.DataCentres) {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -32,6 +32,7 @@
       std::max<std::int64_t>(now.time_since_epoch().count(), 1));
   m.BootId = bootId;
   m.CallerPort = s.CallerListen.Port;
+  m.AdminPort = s.AdminListen.Port;
   return m;
 }
 
@@ -77,6 +78,8 @@
   HttpServer AdminServer;
   /** Calls of peers in progress at the gate, by token of their request. */
   std::unordered_map<std::uint64_t, GateRequestId> PeerCalls;
+  /** Configuration whose objectives the figures use. */
+  Version ObjectivesOf = Version::None;
   bool Leaving = false;
   Logger Lines{"daemon"};
 };
@@ -117,6 +120,11 @@
 }
 
 void Daemon::Parts::onApplied() {
+  if (State.version() != ObjectivesOf) {
+    ObjectivesOf = State.version();
+    Figures.setObjectives(*State.configuration());
+  }
+  Admin.recordsApplied();
   Routing.refresh();
   Gate.configurationChanged();
   Claims.recordsApplied();
--- /dev/null
+++ b/src/daemon/fleet_report_html.cpp
@@ -0,0 +1,123 @@
+#include "fleet_report_format.h"
+
+#include "chivefold/core/configuration_text.h"
+
+#include <algorithm>
+
+namespace chivefold {
+namespace {
+
+/** Burn rates from this on fill the whole bar: at 14.4 an hour spends 2% of a
+ * budget of 30 days, a usual bound for paging somebody. */
+constexpr double FullBarBurn = 14.4;
+
+constexpr const char *Head = R"(<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>chivefold report</title>
+<style>
+body { font-family: sans-serif; margin: 2em; color: #222; }
+table { border-collapse: collapse; margin-bottom: 2em; }
+th, td { border: 1px solid #ccc; padding: 0.3em 0.6em; text-align: left; }
+th { background: #eee; }
+svg { display: block; }
+.missing { color: #a00; }
+</style></head><body>
+<h1>chivefold report</h1>
+)";
+
+/** Escapes for element content and for quoted attributes. */
+std::string escaped(const std::string &text) {
+  std::string out;
+  for (const char c : text) {
+    switch (c) {
+    case '&':
+      out += "&amp;";
+      break;
+    case '<':
+      out += "&lt;";
+      break;
+    case '>':
+      out += "&gt;";
+      break;
+    case '"':
+      out += "&quot;";
+      break;
+    case '\'':
+      out += "&#39;";
+      break;
+    default:
+      out += c;
+    }
+  }
+  return out;
+}
+
+std::string cells(const TextRow &row, const char *tag) {
+  std::string out;
+  for (const auto &it : row) {
+    out += std::string("<") + tag + ">" + escaped(it) + "</" + tag + ">";
+  }
+  return out;
+}
+
+/** @return a bar for a burn rate; above 1 the budget does not last. */
+std::string bar(double burn) {
+  constexpr double full = 120;
+  const auto width = full * std::min(burn, FullBarBurn) / FullBarBurn;
+  return "<svg width=\"120\" height=\"10\" role=\"img\"><rect width=\"120\" "
+         "height=\"10\" fill=\"#eee\"/><rect width=\"" +
+         shortNumber(width) + "\" height=\"10\" fill=\"" +
+         (burn > 1 ? "#c33" : "#393") + "\"/></svg>";
+}
+
+std::string seriesTable(const FleetReport &report) {
+  const auto rows = reportRows(report);
+  std::string out = "<table>\n<tr>" + cells(rows.front(), "th") +
+                    "<th>burn 1 h, full bar " + shortNumber(FullBarBurn) +
+                    "</th></tr>\n";
+  // reportRows() has its rows in the order of the series.
+  std::size_t n = 1;
+  for (const auto &it : report.Series) {
+    out += "<tr>" + cells(rows[n++], "td") + "<td>" +
+           bar(it.second.burn(it.second.Long)) + "</td></tr>\n";
+  }
+  return out + "</table>\n";
+}
+
+std::string moveTable(const FleetReport &report) {
+  const auto rows = moveRows(report);
+  std::string out = "<table>\n<tr>" + cells(rows.front(), "th") + "</tr>\n";
+  for (std::size_t n = 1; n < rows.size(); ++n) {
+    out += "<tr>" + cells(rows[n], "td") + "</tr>\n";
+  }
+  return out + "</table>\n";
+}
+
+std::string stateSections(const FleetReport &report) {
+  if (!report.StateKnown) {
+    return "<p class=\"missing\">Moves and data centres are not known: no "
+           "daemon gave its state.</p>\n";
+  }
+  std::string out = "<h2>Moves that ended</h2>\n" + moveTable(report) +
+                    "<h2>Data centres out</h2>\n<ul>\n";
+  for (const auto &it : report.DataCentresOut) {
+    out += "<li>" + escaped(it) + "</li>\n";
+  }
+  return out + (report.DataCentresOut.empty() ? "<li>none</li>\n" : "") +
+         "</ul>\n";
+}
+
+} // namespace
+
+std::string reportHtml(const FleetReport &report, UtcTime now) {
+  std::string out = Head;
+  out += "<p>As of " + escaped(toString(now)) + "</p>\n";
+  const bool whole = report.Failed.empty() && report.NotAsked == 0;
+  for (const auto &it : coverageLines(report)) {
+    out += std::string(whole ? "<p>" : "<p class=\"missing\">") + escaped(it) +
+           "</p>\n";
+  }
+  out += "<h2>Service levels</h2>\n" + seriesTable(report);
+  return out + stateSections(report) + "</body></html>\n";
+}
+
+} // namespace chivefold
--- a/src/daemon/operator_apply.cpp
+++ b/src/daemon/operator_apply.cpp
@@ -3,6 +3,7 @@
 #include "chivefold/core/configuration_text.h"
 
 #include <algorithm>
+#include <cctype>
 #include <nlohmann/json.hpp>
 
 namespace chivefold {
@@ -174,9 +175,12 @@
   return judged(*verdict, log, id, options.Json);
 }
 
-OperatorResult setDataCentre(const std::string &dataCentre, bool takenOut,
-                             OperatorContext &context,
-                             const std::string &logUrl, bool json) {
+namespace {
+
+/** Records a take-out or put-back in the log. */
+OperatorResult recordDataCentre(const std::string &dataCentre, bool takenOut,
+                                OperatorContext &context,
+                                const std::string &logUrl, bool json) {
   OperatorLog log(context, logUrl);
   const auto read = log.readToTail();
   if (!read) {
@@ -201,4 +205,67 @@
                          json);
 }
 
+/** @return why the daemon does not spread the take-out; empty if it does. */
+std::string spreadFault(const std::string &dataCentre, OperatorContext &context,
+                        const Address &admin) {
+  const auto response = context.Http.request(
+      "PUT",
+      "http://" + toString(admin) + "/-/take-out?data_centre=" + dataCentre,
+      "");
+  if (!response) {
+    return response.reason().Message;
+  }
+  return response->Status == 200 ? ""
+                                 : "status " + std::to_string(response->Status);
+}
+
+/** Names that need no escaping in a URL; no other is in a configuration. */
+bool isPlainName(const std::string &name) {
+  return !name.empty() &&
+         std::all_of(name.begin(), name.end(), [](unsigned char c) {
+           return std::isalnum(c) != 0 || c == '.' || c == '_' || c == '-';
+         });
+}
+
+} // namespace
+
+OperatorResult setDataCentre(const std::string &dataCentre, bool takenOut,
+                             OperatorContext &context,
+                             const DataCentreOptions &options) {
+  if (!isPlainName(dataCentre)) {
+    return report(OperatorExit::BadInput, "bad-name",
+                  "expected the name of a data centre, got '" + dataCentre +
+                      "'",
+                  json::object(), options.Json);
+  }
+  const bool asked = takenOut && options.Admin;
+  // The daemon is asked first, since it needs no answer from the log.
+  const auto fault =
+      asked ? spreadFault(dataCentre, context, *options.Admin) : "";
+  auto result = recordDataCentre(dataCentre, takenOut, context, options.LogUrl,
+                                 options.Json);
+  if (!asked) {
+    return result;
+  }
+  const bool recorded = result.Exit == OperatorExit::Ok;
+  if (options.Json) {
+    auto details = json::parse(result.Output);
+    details["spread"] = fault.empty();
+    details["spread_fault"] = fault;
+    details["recorded"] = recorded;
+    result.Output = details.dump(2) + "\n";
+    return result;
+  }
+  constexpr std::string_view accepted = "accepted at ";
+  const bool isNew = result.Output.compare(0, accepted.size(), accepted) == 0;
+  const auto record =
+      isNew ? "recorded at " + result.Output.substr(accepted.size())
+            : "recorded: " + result.Output;
+  const auto by = toString(*options.Admin);
+  result.Output = (fault.empty() ? "spread now by " + by
+                                 : "not spread by " + by + ": " + fault) +
+                  "\n" + (recorded ? record : "recorded not yet\n");
+  return result;
+}
+
 } // namespace chivefold
--- a/src/daemon/operator_commands.cpp
+++ b/src/daemon/operator_commands.cpp
@@ -17,8 +17,11 @@
   std::string DataCentre;
   std::string LogUrl;
   std::string Admin;
+  std::vector<std::string> Admins;
+  std::string HtmlFile;
   std::string Resume;
   std::uint64_t Base = 0;
+  bool WholeFleet = false;
   bool Json = false;
 };
 
@@ -70,6 +73,28 @@
       ->type_name("http://IP:PORT");
 }
 
+CLI::Option *addAdmin(CLI::App *sub, std::string &to, const char *help) {
+  return sub->add_option("--admin", to, help)
+      ->envname("CHIVEFOLD_ADMIN")
+      ->check(checkAdmin)
+      ->type_name("IP:PORT");
+}
+
+void addReport(CLI::App &app, Flags &flags) {
+  auto *sub = command(app, flags, "report",
+                      "show service levels, ended moves and data centres out");
+  sub->add_option("--admin", flags.Admins,
+                  "admin address of a daemon; may be repeated")
+      ->envname("CHIVEFOLD_ADMIN")
+      ->required()
+      ->allow_extra_args(false)
+      ->check(checkAdmin)
+      ->type_name("IP:PORT");
+  sub->add_flag("--fleet", flags.WholeFleet,
+                "also ask the members that the first daemon lists");
+  sub->add_option("--html", flags.HtmlFile, "also write an HTML page");
+}
+
 void addCommands(CLI::App &app, Flags &flags) {
   auto *check = command(app, flags, "check", "check a configuration text");
   check->add_option("FILE", flags.File, "the text")->required();
@@ -93,19 +118,19 @@
                             : "give a data centre new work again");
     sub->add_option("DC", flags.DataCentre, "the data centre")->required();
     addLog(sub, flags);
+    if (std::string_view(name) == "take-out") {
+      addAdmin(sub, flags.Admin, "daemon that spreads it at once");
+    }
   }
   const std::pair<const char *, const char *> views[] = {
       {"status", "show a daemon's view of the fleet"},
-      {"moves", "show moves and how they ended"},
-      {"report", "show a daemon's report"}};
+      {"moves", "show moves and how they ended"}};
   for (const auto &it : views) {
-    command(app, flags, it.first, it.second)
-        ->add_option("--admin", flags.Admin, "admin address of a daemon")
-        ->envname("CHIVEFOLD_ADMIN")
-        ->required()
-        ->check(checkAdmin)
-        ->type_name("IP:PORT");
+    addAdmin(command(app, flags, it.first, it.second), flags.Admin,
+             "admin address of a daemon")
+        ->required();
   }
+  addReport(app, flags);
 }
 
 OperatorResult badInput(const std::string &message) {
@@ -149,17 +174,26 @@
   return result;
 }
 
-constexpr std::array<std::pair<std::string_view, OperatorView>, 3> Views = {
-    {{"status", OperatorView::Status},
-     {"moves", OperatorView::Moves},
-     {"report", OperatorView::Report}}};
+constexpr std::array<std::pair<std::string_view, OperatorView>, 2> Views = {
+    {{"status", OperatorView::Status}, {"moves", OperatorView::Moves}}};
+
+OperatorResult runReport(const Flags &flags, OperatorContext &context) {
+  ReportOptions options{{}, flags.WholeFleet, flags.Json, flags.HtmlFile};
+  for (const auto &it : flags.Admins) {
+    options.Admins.push_back(*parseAddress(it));
+  }
+  return showReport(context, options);
+}
 
 OperatorResult runCommand(const CLI::App &sub, const Flags &flags,
                           OperatorContext &context) {
   const auto &name = sub.get_name();
   if (name == "take-out" || name == "put-back") {
     return setDataCentre(flags.DataCentre, name == "take-out", context,
-                         flags.LogUrl, flags.Json);
+                         {flags.LogUrl, parseAddress(flags.Admin), flags.Json});
+  }
+  if (name == "report") {
+    return runReport(flags, context);
   }
   // The command decides, not the flags: CLI11 also reads the environment
   // variables of commands that were not given.
--- a/src/daemon/operator_http.cpp
+++ b/src/daemon/operator_http.cpp
@@ -66,8 +66,10 @@
     curl_easy_setopt(c, CURLOPT_WRITEDATA, &response.Body);
     curl_easy_setopt(c, CURLOPT_HEADERFUNCTION, readHeader);
     curl_easy_setopt(c, CURLOPT_HEADERDATA, &response);
-    if (method == "POST") {
+    if (method != "GET") {
+      // Sends the body as for POST, under the name of the method.
       curl_easy_setopt(c, CURLOPT_POST, 1L);
+      curl_easy_setopt(c, CURLOPT_CUSTOMREQUEST, method.c_str());
       curl_easy_setopt(c, CURLOPT_POSTFIELDS, body.data());
       curl_easy_setopt(c, CURLOPT_POSTFIELDSIZE_LARGE,
                        static_cast<curl_off_t>(body.size()));
--- a/src/daemon/wire_convert.cpp
+++ b/src/daemon/wire_convert.cpp
@@ -29,6 +29,7 @@
   to->boot_id = member.BootId;
   to->floor = raw(member.Floor);
   to->caller_port = member.CallerPort;
+  to->admin_port = member.AdminPort;
   return to;
 }
 
@@ -52,6 +53,7 @@
   m.BootId = member->boot_id;
   m.Floor = LogOffset{member->floor};
   m.CallerPort = member->caller_port;
+  m.AdminPort = member->admin_port;
   return m;
 }
 
--- a/tests/unit/configuration_text_test.cpp
+++ b/tests/unit/configuration_text_test.cpp
@@ -85,6 +85,10 @@
     {"cold_slots = 2", "cold_slots = 21", 12, 14, "cold_slots of at most"},
     {"timeout_ms = 1500", "timeout_ms = 0", 19, 14, "from 1 to 600000"},
     {"timeout_ms = 1500", "timeout_ms = 600001", 19, 14, "from 1 to 600000"},
+    {"worth = 5", "objective = 1.0", 18, 13, "above 0 and below 1"},
+    {"worth = 5", "objective = 0.0", 18, 13, "above 0 and below 1"},
+    {"worth = 5", "objective = nan", 18, 13, "above 0 and below 1"},
+    {"worth = 5", "objective = 1", 18, 13, "above 0 and below 1"},
     {"[\"depot-ledger\"]", "[\"ledger\"]", 6, 15, "a service of this text"},
     {"[\"depot-ledger\"]", "\"depot-ledger\"", 6, 14, "array of names"},
     {"[\"depot-ledger\"]", "[\"client-desk\"]", 6, 15, "dependency cycle"},
@@ -135,6 +139,11 @@
   REQUIRE(s->Routes.size() == 2);
   CHECK(s->Routes[0] == Route{"POST", "/pickups", "booking", false, 5, 1500});
   CHECK(s->Routes[1] == Route{"GET", "/pickups/", "list", true, 1, 2000});
+  CHECK(s->Routes[0].Objective == 0.999);
+  const auto own = compileConfiguration(
+      replaced({"worth = 5", "objective = 0.95", 0, 0, ""}));
+  REQUIRE(own.hasValue());
+  CHECK(own->service("client-desk")->Routes[0].Objective == 0.95);
   REQUIRE(s->Move.has_value());
   CHECK(s->Move->ToVersion == "v2");
   CHECK(toString(s->Move->Deadline) == "2026-12-04T16:00:00Z");
--- a/tests/unit/metrics_test.cpp
+++ b/tests/unit/metrics_test.cpp
@@ -49,6 +49,36 @@
         3000 - (MetricsSettings::MaxSeries - 1));
 }
 
+// Guards against objectives that are lost when the table of series is full, or
+// that stay after a configuration dropped them.
+TEST_CASE("objectives follow the configuration", "[metrics]") {
+  Metrics metrics{MetricsSettings()};
+  Configuration config;
+  config.Services["desk"].Routes = {{"GET", "/a", "book", true, 1, 100, 0.9},
+                                    {"GET", "/b", "book", true, 1, 100, 0.95}};
+  metrics.setObjectives(config);
+  metrics.record(at(1), sample("book", true));
+  CHECK(metrics.report(at(1)).Series.at(0).Objective == 0.95);
+  metrics.setObjectives(Configuration());
+  CHECK(metrics.report(at(1)).Series.at(0).Objective == 0.999);
+}
+
+// Guards against calls that fall between latency buckets or outside of them.
+TEST_CASE("each call is in the bucket of its latency", "[metrics]") {
+  Metrics metrics{MetricsSettings()};
+  const std::chrono::microseconds latencies[] = {{},
+                                                 std::chrono::microseconds(125),
+                                                 std::chrono::microseconds(126),
+                                                 std::chrono::hours(1)};
+  for (const auto &it : latencies) {
+    metrics.record(at(1), {"desk", "book", Outcome::Answered, true, 1, it});
+  }
+  const auto buckets = metrics.report(at(1)).Series.at(0).LatencyBuckets;
+  CHECK(buckets.front() == 2);
+  CHECK(buckets[1] == 1);
+  CHECK(buckets.back() == 1);
+}
+
 // Guards against names that break the exported formats.
 TEST_CASE("exports escape names", "[metrics]") {
   Metrics metrics{MetricsSettings()};
--- a/tests/unit/operator_test.cpp
+++ b/tests/unit/operator_test.cpp
@@ -17,10 +17,17 @@
   /** Appended by a rival just before the next append. */
   std::string Rival;
   bool Down = false;
+  /** Requests to a daemon, and its answer to them. */
+  std::vector<std::string> Puts;
+  int PutStatus = 200;
 
   Result<PlainResponse> request(const std::string &method,
                                 const std::string &url,
                                 const std::string &body) override {
+    if (method == "PUT") {
+      Puts.push_back(url);
+      return PlainResponse{PutStatus, "", {}, {}};
+    }
     if (Down) {
       return Reason{ErrorCode::ConnectionFailed, "refused"};
     }
@@ -166,3 +173,50 @@
   CHECK(exit({"apply", "--resume", "12", "--log-url", "http://127.0.0.1:1"}) ==
         OperatorExit::BadInput);
 }
+
+// Guards against a take-out that waits for the log, and against output that
+// does not tell what took effect.
+TEST_CASE("take-out says whether it is spread and recorded", "[operator]") {
+  Fixture f;
+  REQUIRE(f.apply(textWith("['a', 'b']")).Exit == OperatorExit::Ok);
+  const auto set = [&](bool takenOut, bool json = false) {
+    return setDataCentre("b", takenOut, f.Context,
+                         {"http://x", Address{"127.0.0.1", 3}, json});
+  };
+  f.Log.Down = true;
+  const auto outage = set(true);
+  CHECK(outage.Exit == OperatorExit::Unknown);
+  CHECK(outage.Output == "spread now by 127.0.0.1:3\nrecorded not yet\n");
+  CHECK(f.Log.Puts.at(0) == "http://127.0.0.1:3/-/take-out?data_centre=b");
+  CHECK_THAT(set(true, true).Output,
+             Catch::Contains("\"spread\": true") &&
+                 Catch::Contains("\"recorded\": false"));
+  f.Log.Down = false;
+  f.Log.PutStatus = 404;
+  const auto recorded = set(true);
+  INFO(recorded.Error);
+  CHECK(recorded.Exit == OperatorExit::Ok);
+  CHECK(recorded.Output ==
+        "not spread by 127.0.0.1:3: status 404\nrecorded at offset 2\n");
+  const auto puts = f.Log.Puts.size();
+  CHECK(set(false).Output == "accepted at offset 3\n");
+  CHECK(f.Log.Puts.size() == puts);
+  const auto odd =
+      setDataCentre("b&x", true, f.Context, {"http://x", {}, true});
+  CHECK(odd.Exit == OperatorExit::BadInput);
+  CHECK_THAT(odd.Output, Catch::Contains("\"outcome\": \"bad-name\""));
+}
+
+// Guards against a diff that appends, or hides a change.
+TEST_CASE("diff shows changes and appends nothing", "[operator]") {
+  Fixture f;
+  REQUIRE(f.apply(textWith("['a']")).Exit == OperatorExit::Ok);
+  const auto diff = [&](const char *centres, bool json) {
+    return diffText(textWith(centres), f.Context, "http://x", json).Output;
+  };
+  CHECK(diff("['a']", false) == "no difference\n");
+  CHECK_THAT(diff("['a', 'z']", false), Catch::Contains("data centres a, z"));
+  CHECK_THAT(diff("['a', 'z']", true),
+             Catch::Contains("\"outcome\": \"different\""));
+  CHECK(f.Log.Records.size() == 1);
+}
--- a/tests/unit/record_test.cpp
+++ b/tests/unit/record_test.cpp
@@ -3,6 +3,7 @@
 #include "record_generated.h"
 
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <rapidcheck.h>
 #include <tuple>
 
@@ -42,8 +43,8 @@
     v.CurrentVersion = text();
     v.Limits = {below(99), below(99), below(99), below(99)};
     for (auto n = below(4); n > 0; --n) {
-      v.Routes.push_back(
-          {text(), text(), text(), below(2) == 1, below(99), below(99)});
+      v.Routes.push_back({text(), text(), text(), below(2) == 1, below(99),
+                          below(99), (1 + below(98)) / 100.0});
     }
     if (below(2) == 1) {
       v.Move = MoveRequest{
@@ -224,6 +225,12 @@
   CHECK(refused(ClaimRecord{{}, {{1, 1}}}));
   CHECK(refused(AnnounceRecord{}));
   CHECK(refused(ChangeRecord{{}, {Section()}}));
+  for (const double objective : {0.0, 1.0, -0.5, std::nan("")}) {
+    Section s;
+    s.ChangedService.emplace().Name = "s";
+    s.ChangedService->Routes = {{"GET", "/", "k", true, 1, 1, objective}};
+    CHECK(refused(ChangeRecord{{}, {s}}));
+  }
 }
 
 // Guards against parts that exceed a record, lose a section, or carry a digest
