--- a/benchmark/dissemination.cpp
+++ b/benchmark/dissemination.cpp
@@ -96,7 +96,9 @@
 
 std::size_t recordsBytes(const std::vector<LogEntry> &records) {
   wire::RecordsT w;
-  w.first_after = 1;
+  w.from = std::make_unique<wire::PeerAddressT>();
+  w.from->ip = "10.0.0.1";
+  w.from->port = 1;
   for (const auto &it : records) {
     w.records.push_back(std::make_unique<wire::LogRecordT>());
     w.records.back()->offset = raw(it.Offset);
