Recover the state from a trimmed log

Cause: a daemon that started after offset 1 was trimmed could only ask a peer, so a fleet of which all daemons died could not recover, and nothing appended

Conclusion: the state survives the log's retention as long as one daemon has followed the log, and a full restart within it.

--- a/include/chivefold/core/control_snapshot.h
+++ b/include/chivefold/core/control_snapshot.h
@@ -50,6 +50,44 @@
   std::deque<Partial> Partials;
 };
 
+/** Place of a complete snapshot in the log. */
+struct SnapshotPlace {
+  LogOffset AsOf = LogOffset::None;
+  /** Offset of the record that completed it. */
+  LogOffset End = LogOffset::None;
+  std::uint32_t Parts = 0;
+};
+
+/**
+ * Looks through a trimmed log for the newest complete snapshot that the
+ * retained records continue. Not thread-safe.
+ */
+class SnapshotScan {
+public:
+  /** @param first the log's oldest retained offset. */
+  explicit SnapshotScan(LogOffset first) : First(first), Next(first) {}
+
+  /** @return the offset to read from. */
+  LogOffset next() const { return Next; }
+
+  /** Adds the records read from next(). @return whether to read on, given the
+   * log's @p tail, the offset of its next append. */
+  bool add(const std::vector<LogEntry> &entries, LogOffset tail);
+
+  const SnapshotPlace &place() const { return Place; }
+
+  /** @return the state of the snapshot at place(), or LogTrimmed if there is
+   * none. Call once. */
+  Result<ControlState> take();
+
+private:
+  LogOffset First;
+  LogOffset Next;
+  SnapshotAssembler Assembler;
+  std::optional<ControlState> Newest;
+  SnapshotPlace Place;
+};
+
 } // namespace chivefold
 
 #endif
--- a/include/chivefold/core/dissemination.h
+++ b/include/chivefold/core/dissemination.h
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string_view>
@@ -107,6 +108,12 @@
   /** Like installSnapshot() with a decoded state, e.g. from the log. */
   Status installState(ControlState state);
 
+  /** Sets what is called with each record after it was applied, in log order.
+   */
+  void onApplied(std::function<void(const LogEntry &)> observer) {
+    Observer = std::move(observer);
+  }
+
   /** @return the highest offset that is known to exist. */
   LogOffset knownTail() const { return KnownTail; }
 
@@ -139,6 +146,7 @@
   /** A fetch from this peer is outstanding until FetchDeadline. */
   std::optional<Address> FetchPeer;
   TimePoint FetchDeadline{};
+  std::function<void(const LogEntry &)> Observer;
 };
 
 } // namespace chivefold
--- a/include/chivefold/core/recovery.h
+++ b/include/chivefold/core/recovery.h
@@ -62,6 +62,10 @@
   /** The log did not answer. Peers suffice only while this is the last word. */
   void logUnavailable();
 
+  /** The log was searched from @p first, its oldest retained offset, and has
+   * no complete snapshot that its records continue. */
+  void snapshotMissing(LogOffset first) { MissingBefore = first; }
+
   /** Records a peer's newest answer. */
   void peerAnswered(const PeerAnswer &answer);
 
@@ -80,6 +84,8 @@
   bool IsReady = false;
   bool LogDown = false;
   std::optional<LogOffset> TailNext;
+  /** Records below this are trimmed, and the log has no snapshot. */
+  LogOffset MissingBefore = LogOffset::None;
   LogOffset Floor = LogOffset::None;
   std::map<Address, PeerAnswer> Answers;
 };
--- a/include/chivefold/daemon/control_service.h
+++ b/include/chivefold/daemon/control_service.h
@@ -11,6 +11,7 @@
 #include "chivefold/core/member_table.h"
 #include "chivefold/core/safe_steps.h"
 #include "chivefold/daemon/membership_service.h"
+#include "chivefold/daemon/snapshot_service.h"
 #include "chivefold/io/log_client.h"
 #include "chivefold/io/logging.h"
 #include "chivefold/io/peer_network.h"
@@ -118,6 +119,7 @@
   ControlParts Parts;
   std::mt19937_64 Random;
   std::function<void()> OnApplied;
+  SnapshotService Snapshots;
   LogStatus Log;
   bool Reading = false;
   bool SnapshotPending = false;
--- a/include/chivefold/io/log_client.h
+++ b/include/chivefold/io/log_client.h
@@ -82,6 +82,10 @@
   void read(LogOffset from, std::uint32_t max, Duration wait,
             TimePoint deadline, ReadCallback done);
 
+  /** @return the oldest retained offset as the log last told it with a read,
+   * LogTrimmed included; None before. */
+  LogOffset firstRetained() const;
+
   /**
    * Appends and, when an answer is lost, looks for the record before it
    * appends the same bytes again.
--- a/src/core/control_snapshot.cpp
+++ b/src/core/control_snapshot.cpp
@@ -58,4 +58,32 @@
   return std::move(*state);
 }
 
+bool SnapshotScan::add(const std::vector<LogEntry> &entries, LogOffset tail) {
+  for (const auto &it : entries) {
+    Next = LogOffset{raw(it.Offset) + 1};
+    const auto record = decodeRecord(it.Bytes);
+    const auto *part =
+        record ? std::get_if<SnapshotPartRecord>(&record->Body) : nullptr;
+    // A snapshot from before the retained records leaves a gap.
+    if (part == nullptr || raw(part->AsOf) + 1 < raw(First) ||
+        part->AsOf <= Place.AsOf) {
+      continue;
+    }
+    if (auto state = Assembler.add(*part)) {
+      Newest = std::move(state);
+      Place = {part->AsOf, it.Offset, part->PartCount};
+    }
+  }
+  return !entries.empty() && Next < tail;
+}
+
+Result<ControlState> SnapshotScan::take() {
+  if (!Newest) {
+    return Reason{ErrorCode::LogTrimmed,
+                  "the log retains records from " + std::to_string(raw(First)) +
+                      " on and no complete snapshot that they continue"};
+  }
+  return std::move(*Newest);
+}
+
 } // namespace chivefold
--- a/src/core/dissemination.cpp
+++ b/src/core/dissemination.cpp
@@ -43,6 +43,9 @@
   }
   Members.setFloor(State.applied());
   remember(entry);
+  if (Observer) {
+    Observer(entry);
+  }
   return true;
 }
 
--- a/src/core/recovery.cpp
+++ b/src/core/recovery.cpp
@@ -31,6 +31,10 @@
   } else if (LogDown) {
     reason = peersMissing(view);
     IsReady = reason.empty();
+  } else if (raw(view.Applied) + 1 < raw(MissingBefore)) {
+    reason = "the log retains records from " +
+             std::to_string(raw(MissingBefore)) +
+             " on and no complete snapshot; asking peers";
   } else if (TailNext) {
     reason = "reading the log: applied " + std::to_string(raw(view.Applied)) +
              ", tail " + std::to_string(raw(*TailNext) - 1);
--- a/src/daemon/control_service.cpp
+++ b/src/daemon/control_service.cpp
@@ -43,7 +43,10 @@
                                std::uint64_t seed,
                                std::function<void()> onApplied)
     : Loop(reactor), Network(network), Client(log), Parts(parts), Random(seed),
-      OnApplied(std::move(onApplied)) {}
+      OnApplied(std::move(onApplied)),
+      Snapshots(
+          reactor, log, {parts.State, parts.Members, parts.Records},
+          [this] { return newRecordId(); }, [this] { applied(1); }) {}
 
 ControlService::~ControlService() { Loop.cancel(Timer); }
 
@@ -69,6 +72,9 @@
                                    {"version", raw(Parts.State.version())}});
     OnApplied();
   }
+  if (WasReady) {
+    Snapshots.tick();
+  }
   Timer = Loop.schedule(now + TickInterval, [this] { tick(); });
 }
 
@@ -105,6 +111,7 @@
   Backoff = MinBackoff;
   Parts.Records.recovery().logReached(batch->Next);
   accept(batch->Entries, std::nullopt);
+  Snapshots.logRead(batch->First, batch->Next);
   if (raw(Parts.State.applied()) + 1 >= raw(batch->Next)) {
     Log.ReadAt = sentAt;
     Wanted = std::min(Wanted, Parts.State.applied());
@@ -115,7 +122,9 @@
 void ControlService::onReadFailed(const Reason &reason) {
   const auto now = Loop.now();
   if (reason.Code == ErrorCode::LogTrimmed) {
-    // The log no longer has the next record, so a peer's snapshot is needed.
+    // The log no longer has the next record, so a snapshot is needed, from a
+    // peer or from the log.
+    Snapshots.recover();
     const auto peers = Parts.Members.randomPeers(1, false);
     if (!peers.empty() && !SnapshotPending) {
       requestSnapshot(peers.front());
@@ -217,6 +226,7 @@
         const std::string bytes(answer->bytes.begin(), answer->bytes.end());
         const auto done = Parts.Records.installSnapshot(bytes);
         if (done) {
+          Snapshots.recordsSkipped();
           applied(1);
         } else {
           Lines.debug("snapshot not used",
--- a/src/daemon/operator_log.cpp
+++ b/src/daemon/operator_log.cpp
@@ -58,38 +58,35 @@
 }
 
 Status OperatorLog::recoverTrimmed(LogOffset first) {
-  SnapshotAssembler assembler;
-  auto from = first;
-  while (true) {
-    const auto response = read(from);
+  SnapshotScan scan(first);
+  for (bool more = true; more;) {
+    const auto response = read(scan.next());
     if (!response) {
       return response.reason();
     }
-    const auto entries = parseLogEntries(response->Body, from);
+    if (response->Status == 410) {
+      // Records were trimmed during the scan; readToTail() scans again.
+      return Done{};
+    }
+    const auto entries = parseLogEntries(response->Body, scan.next());
     if (!entries) {
       return entries.reason();
     }
-    for (const auto &it : *entries) {
-      const auto record = decodeRecord(it.Bytes);
-      const auto *part =
-          record ? std::get_if<SnapshotPartRecord>(&record->Body) : nullptr;
-      auto state = part != nullptr ? assembler.add(*part) : std::nullopt;
-      // A snapshot from before the retained records leaves a gap.
-      if (state && raw(state->applied()) + 1 >= raw(first)) {
-        State = std::move(*state);
-        return Done{};
-      }
-    }
-    if (entries->empty()) {
-      return Reason{ErrorCode::LogTrimmed,
-                    "the log retains no snapshot that its records continue"};
-    }
-    from = LogOffset{raw(entries->back().Offset) + 1};
+    more = scan.add(*entries, response->LogNext);
   }
+  auto state = scan.take();
+  if (!state) {
+    return state.reason();
+  }
+  // A version never goes backwards.
+  if (state->applied() > State.applied()) {
+    State = std::move(*state);
+  }
+  return Done{};
 }
 
 Status OperatorLog::readToTail() {
-  bool recovered = false;
+  int recoveries = 0;
   while (true) {
     const auto from = LogOffset{raw(State.applied()) + 1};
     const auto response = read(from);
@@ -97,11 +94,11 @@
       return response.reason();
     }
     if (response->Status == 410) {
-      if (recovered || response->LogFirst <= from) {
+      if (recoveries == MaxTries || response->LogFirst <= from) {
         return Reason{ErrorCode::LogTrimmed,
                       "the log no longer retains " + std::to_string(raw(from))};
       }
-      recovered = true;
+      ++recoveries;
       auto status = recoverTrimmed(response->LogFirst);
       if (!status) {
         return status;
--- a/src/io/log_client.cpp
+++ b/src/io/log_client.cpp
@@ -154,6 +154,7 @@
   HttpClient &Http;
   std::string BaseUrl;
   std::mt19937_64 Random;
+  LogOffset First = LogOffset::None;
 };
 
 void LogClient::Impl::append(std::string bytes, TimePoint deadline,
@@ -200,9 +201,15 @@
   Http.start(std::move(call), [weak = weak_from_this(), from, max,
                                done = std::move(done)](
                                   const HttpOutcome &outcome) {
-    if (!weak.lock()) {
+    const auto impl = weak.lock();
+    if (!impl) {
       return;
     }
+    if (outcome.Response) {
+      const auto first =
+          parseNumber(headerValue(outcome.Response->Headers, "Log-First"));
+      impl->First = first ? static_cast<LogOffset>(*first) : impl->First;
+    }
     auto result = readResult(outcome, from);
     if (result && result->Entries.size() > max) {
       result = Reason{ErrorCode::InvalidRecord, "more records than asked for"};
@@ -312,6 +319,8 @@
 
 LogClient::~LogClient() = default;
 
+LogOffset LogClient::firstRetained() const { return State->First; }
+
 void LogClient::append(std::string bytes, TimePoint deadline,
                        AppendCallback done) {
   State->append(std::move(bytes), deadline, std::move(done));
