Fuzz at-most-once and the other promises with an oracle

Ruled out: rapidcheck/state.h, since lists from its container generator shrink the same way and can be written and replayed as text; fuzzing a copy of the logic of ClaimService, which therefore moved to the core class ClaimCoordinator (same logic, used by the daemon and by the fuzzer).

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,10 @@
 lint: build
 	./.ci/format
 	./.ci/tidy
+
+# A long run with a new seed, which each program prints for a repeat with
+# `make fuzz SEED=N`.
+SEED ?= $(shell date +%s)
+fuzz: build
+	RC_PARAMS="seed=$(SEED) max_success=100000" ./build/fuzz/fuzz_at_most_once
+	RC_PARAMS="seed=$(SEED) max_success=20000" ./build/fuzz/fuzz_promises
--- a/include/chivefold/daemon/claim_service.h
+++ b/include/chivefold/daemon/claim_service.h
@@ -5,7 +5,7 @@
 #ifndef CHIVEFOLD_DAEMON_CLAIM_SERVICE_H
 #define CHIVEFOLD_DAEMON_CLAIM_SERVICE_H
 
-#include "chivefold/core/claim_table.h"
+#include "chivefold/core/claim_coordinator.h"
 #include "chivefold/core/control_state.h"
 #include "chivefold/daemon/call_message.h"
 #include "chivefold/daemon/call_runner.h"
@@ -14,7 +14,6 @@
 #include "chivefold/io/reactor.h"
 
 #include <unordered_map>
-#include <unordered_set>
 
 namespace chivefold {
 
@@ -25,8 +24,6 @@
    * earlier get their answer then. */
   static constexpr Duration ClaimTimeout = std::chrono::seconds(2);
 
-  static constexpr std::size_t MaxUnseen = 50000;
-
   ClaimService(Reactor &reactor, PeerNetwork &network, ControlService &control,
                const ControlState &state, CallRunner &runner, DaemonId self);
   ~ClaimService();
@@ -50,7 +47,6 @@
     TimerId Timer = TimerId::None;
   };
 
-  ClaimHolder holderOf(const KeyHash &key) const;
   void act(const ClaimEffect &effect);
   void act(const std::vector<ClaimEffect> &effects);
   void run(WaiterId id);
@@ -65,14 +61,11 @@
   Reactor &Loop;
   PeerNetwork &Network;
   ControlService &Control;
-  const ControlState &State;
   CallRunner &Runner;
   DaemonId Self;
-  ClaimTable Table;
+  ClaimCoordinator Claims;
   std::uint64_t NextWaiter = 1;
   std::unordered_map<WaiterId, Waiter> Waiters;
-  /** Keys whose claim is not seen in the log yet; at most MaxUnseen. */
-  std::unordered_set<KeyHash> Unseen;
 };
 
 } // namespace chivefold
--- /dev/null
+++ b/src/core/claim_coordinator.cpp
@@ -0,0 +1,78 @@
+#include "chivefold/core/claim_coordinator.h"
+
+#include <utility>
+
+namespace chivefold {
+
+ClaimCoordinator::ClaimCoordinator(const ControlState &state, DaemonId self,
+                                   const ClaimLimits &limits)
+    : State(state), Self(std::move(self)), Table(limits) {}
+
+ClaimHolder ClaimCoordinator::holderOf(const KeyHash &key) const {
+  const auto claim = State.claim(key);
+  if (!claim) {
+    return ClaimHolder::None;
+  }
+  return claim->Holder == Self ? ClaimHolder::Self : ClaimHolder::Other;
+}
+
+ClaimEffect ClaimCoordinator::request(const KeyHash &key,
+                                      std::uint64_t bodyDigest, bool toHolder,
+                                      WaiterId waiter) {
+  const auto holder = holderOf(key);
+  if (toHolder && holder == ClaimHolder::Other) {
+    // The sender took this daemon for the holder, which it is not: an earlier
+    // run of this daemon was, and its results are lost.
+    return {waiter, ClaimAction::Unknown, nullptr};
+  }
+  return Table.request(key, bodyDigest, holder, waiter);
+}
+
+std::vector<KeyHash> ClaimCoordinator::nextAppend() {
+  auto keys = Table.nextAppend();
+  if (Unseen.size() + keys.size() > MaxUnseen) {
+    // Only a long outage of the log gets here.
+    Unseen.clear();
+  }
+  Unseen.insert(keys.begin(), keys.end());
+  return keys;
+}
+
+void ClaimCoordinator::appended() { Table.appended(); }
+
+std::vector<ClaimEffect>
+ClaimCoordinator::appendFailed(const std::vector<KeyHash> &keys,
+                               bool mayHaveTakenEffect) {
+  if (!mayHaveTakenEffect) {
+    for (const auto &it : keys) {
+      Unseen.erase(it);
+    }
+  }
+  return Table.appendFailed(!mayHaveTakenEffect);
+}
+
+std::vector<ClaimEffect> ClaimCoordinator::recordsApplied() {
+  std::vector<KeyHash> seen;
+  for (const auto &it : Unseen) {
+    if (holderOf(it) != ClaimHolder::None) {
+      seen.push_back(it);
+    }
+  }
+  std::vector<ClaimEffect> effects;
+  for (const auto &it : seen) {
+    Unseen.erase(it);
+    const auto more = Table.claimSeen(it, holderOf(it));
+    effects.insert(effects.end(), more.begin(), more.end());
+  }
+  return effects;
+}
+
+std::optional<Address> ClaimCoordinator::forwardTo(const KeyHash &key) const {
+  const auto claim = State.claim(key);
+  if (!claim || claim->Holder.Peer == Self.Peer) {
+    return std::nullopt;
+  }
+  return claim->Holder.Peer;
+}
+
+} // namespace chivefold
--- a/src/daemon/claim_service.cpp
+++ b/src/daemon/claim_service.cpp
@@ -46,8 +46,8 @@
 ClaimService::ClaimService(Reactor &reactor, PeerNetwork &network,
                            ControlService &control, const ControlState &state,
                            CallRunner &runner, DaemonId self)
-    : Loop(reactor), Network(network), Control(control), State(state),
-      Runner(runner), Self(std::move(self)) {}
+    : Loop(reactor), Network(network), Control(control), Runner(runner),
+      Self(std::move(self)), Claims(state, Self) {}
 
 ClaimService::~ClaimService() {
   for (auto &it : Waiters) {
@@ -55,46 +55,26 @@
   }
 }
 
-ClaimHolder ClaimService::holderOf(const KeyHash &key) const {
-  const auto claim = State.claim(key);
-  if (!claim) {
-    return ClaimHolder::None;
-  }
-  return claim->Holder == Self ? ClaimHolder::Self : ClaimHolder::Other;
-}
-
 void ClaimService::request(CallMessage call, CallReply reply) {
   const auto key = hashKey(call.Service, call.Key);
-  const auto holder = holderOf(key);
-  if (call.ToClaimHolder && holder == ClaimHolder::Other) {
-    // The sender took this daemon for the holder, which it is not: an earlier
-    // run of this daemon was, and its results are lost.
-    reply(unknownCall(ErrorCode::OutcomeUnknown));
-    return;
-  }
   const auto id = WaiterId{NextWaiter++};
   const auto digest = digestOf(call);
   const auto deadline = call.Deadline;
+  const bool toHolder = call.ToClaimHolder;
   auto &waiter = Waiters[id];
   waiter.Key = key;
   waiter.Call = std::move(call);
   waiter.Reply = std::move(reply);
   waiter.Timer = Loop.schedule(deadline, [this, id] { timedOut(id); });
-  act(Table.request(key, digest, holder, id));
+  act(Claims.request(key, digest, toHolder, id));
   appendClaims();
 }
 
 void ClaimService::appendClaims() {
-  auto keys = Table.nextAppend();
+  auto keys = Claims.nextAppend();
   if (keys.empty()) {
     return;
   }
-  if (Unseen.size() + keys.size() > MaxUnseen) {
-    // Only a long outage of the log gets here. Claims that are seen later than
-    // this read as "outcome unknown".
-    Unseen.clear();
-  }
-  Unseen.insert(keys.begin(), keys.end());
   ClaimRecord record{Self, keys};
   Control.append(std::move(record), ClaimTimeout,
                  [this, keys](const Result<LogOffset> &offset, bool maybe) {
@@ -106,32 +86,16 @@
                                   const Result<LogOffset> &offset,
                                   bool mayHaveTakenEffect) {
   if (offset) {
-    Table.appended();
+    Claims.appended();
     Control.catchUp(*offset);
     recordsApplied();
   } else {
-    if (!mayHaveTakenEffect) {
-      for (const auto &it : keys) {
-        Unseen.erase(it);
-      }
-    }
-    act(Table.appendFailed(!mayHaveTakenEffect));
+    act(Claims.appendFailed(keys, mayHaveTakenEffect));
   }
   appendClaims();
 }
 
-void ClaimService::recordsApplied() {
-  std::vector<KeyHash> seen;
-  for (const auto &it : Unseen) {
-    if (holderOf(it) != ClaimHolder::None) {
-      seen.push_back(it);
-    }
-  }
-  for (const auto &it : seen) {
-    Unseen.erase(it);
-    act(Table.claimSeen(it, holderOf(it)));
-  }
-}
+void ClaimService::recordsApplied() { act(Claims.recordsApplied()); }
 
 void ClaimService::act(const std::vector<ClaimEffect> &effects) {
   for (const auto &it : effects) {
@@ -170,8 +134,8 @@
   auto call = it->second.Call;
   call.ToClaimHolder = false;
   AttemptHooks hooks;
-  hooks.Starting = [this, key] { return Table.attemptStarted(key); };
-  hooks.NotRun = [this, key] { Table.attemptNotRun(key); };
+  hooks.Starting = [this, key] { return Claims.table().attemptStarted(key); };
+  hooks.NotRun = [this, key] { Claims.table().attemptNotRun(key); };
   Runner.run(std::move(call), std::move(hooks), [this, key](CallResult result) {
     runEnded(key, std::move(result));
   });
@@ -179,11 +143,11 @@
 
 void ClaimService::runEnded(const KeyHash &key, CallResult result) {
   if (result.Result == Outcome::Answered) {
-    act(Table.answered(key, {result.Status, fromHttp(result.Headers),
-                             std::move(result.Body)}));
+    act(Claims.table().answered(key, {result.Status, fromHttp(result.Headers),
+                                      std::move(result.Body)}));
     return;
   }
-  act(Table.ended(key, result.Result));
+  act(Claims.table().ended(key, result.Result));
 }
 
 void ClaimService::forward(WaiterId id) {
@@ -191,16 +155,16 @@
   if (it == Waiters.end()) {
     return;
   }
-  const auto claim = State.claim(it->second.Key);
-  if (!claim || claim->Holder.Peer == Self.Peer) {
+  const auto holder = Claims.forwardTo(it->second.Key);
+  if (!holder) {
     reply(id, unknownCall(ErrorCode::OutcomeUnknown));
     return;
   }
   auto call = it->second.Call;
   call.ToClaimHolder = true;
   const auto deadline = call.Deadline;
-  Network.request(claim->Holder.Peer, frameBody(toWire(call, Loop.now())),
-                  deadline, [this, id](PeerOutcome outcome) {
+  Network.request(*holder, frameBody(toWire(call, Loop.now())), deadline,
+                  [this, id](PeerOutcome outcome) {
                     auto *answer = outcome.Answer
                                        ? outcome.Answer->AsCallAnswer()
                                        : nullptr;
@@ -227,7 +191,7 @@
   if (it == Waiters.end()) {
     return;
   }
-  Table.forget(it->second.Key, id);
+  Claims.table().forget(it->second.Key, id);
   reply(id, unknownCall(ErrorCode::DeadlineExceeded));
 }
 
