State what the test of objectives guards against

Cause: its comment claimed a case (a full table of series) that it does not test. Ruled out: none; only the comment changes.

--- a/tests/unit/metrics_test.cpp
+++ b/tests/unit/metrics_test.cpp
@@ -49,8 +49,8 @@
         3000 - (MetricsSettings::MaxSeries - 1));
 }
 
-// Guards against objectives that are lost when the table of series is full, or
-// that stay after a configuration dropped them.
+// Guards against the laxer of two objectives of one kind, and against
+// objectives that stay after a configuration dropped them.
 TEST_CASE("objectives follow the configuration", "[metrics]") {
   Metrics metrics{MetricsSettings()};
   Configuration config;
