--- a/fuzz/claim_world.h
+++ b/fuzz/claim_world.h
@@ -224,8 +224,8 @@
   }
 
   void post(Message m) {
-    constexpr std::size_t MaxInFlight = 200;
-    if (InFlight.size() < MaxInFlight) {
+    constexpr std::size_t maxInFlight = 200;
+    if (InFlight.size() < maxInFlight) {
       return InFlight.push_back(std::move(m));
     }
     m.Lost();
@@ -387,8 +387,8 @@
       }
     }
     node.Core.recovery().logReached(LogOffset{raw(Log.tail()) + 1});
-    constexpr std::size_t MaxRead = 100;
-    auto result = node.Core.accept(Log.read(node.State.applied(), MaxRead),
+    constexpr std::size_t maxRead = 100;
+    auto result = node.Core.accept(Log.read(node.State.applied(), maxRead),
                                    std::nullopt, Now);
     const auto boot = bootOf(n);
     applied(n);
--- a/fuzz/oracle_check.cpp
+++ b/fuzz/oracle_check.cpp
@@ -44,7 +44,9 @@
     std::cout << wrong << ": caught by case " << n << ": " << *seen << "\n";
     if (!directory.empty()) {
       const auto smallest = shrink<World>(trace, decision);
-      std::ofstream out(directory + "/" + wrong + ".trace");
+      auto path = directory;
+      path.append("/").append(wrong).append(".trace");
+      std::ofstream out(path);
       writeTrace<World>(out, {wrong, decision.Promise, smallest});
     }
     return true;
--- a/fuzz/promise_world.h
+++ b/fuzz/promise_world.h
@@ -110,8 +110,8 @@
   void settle() {
     Cut.heal();
     Log.Mode = LogMode::Up;
-    constexpr int Rounds = 125; // of 5 s, longer than any deadline
-    for (int round = 0; round < Rounds; ++round) {
+    constexpr int rounds = 125; // of 5 s, longer than any deadline
+    for (int round = 0; round < rounds; ++round) {
       Now += std::chrono::seconds(5);
       for (std::size_t n = 0; n < Daemons; ++n) {
         All[n]->Paused = false;
@@ -223,8 +223,8 @@
 
   void post(std::string label, std::size_t from, std::size_t to,
             std::function<void()> deliver) {
-    constexpr std::size_t MaxInFlight = 300;
-    if (InFlight.size() < MaxInFlight) {
+    constexpr std::size_t maxInFlight = 300;
+    if (InFlight.size() < maxInFlight) {
       InFlight.push_back(
           {std::move(label), from, to, 0, true, std::move(deliver), {}});
     }
@@ -477,8 +477,8 @@
     }
     node.Core.recovery().logReached(LogOffset{raw(Log.tail()) + 1});
     node.Core.readiness();
-    constexpr std::size_t MaxRead = 200;
-    accept(n, Log.read(node.State.applied(), MaxRead));
+    constexpr std::size_t maxRead = 200;
+    accept(n, Log.read(node.State.applied(), maxRead));
     if (node.State.applied() == Log.tail()) {
       node.LogRead = Now;
     }
