Bound the connections to a backend server by its limit

HttpClient::setMaxConnections changes the bound at run time, and the gate admits no more requests than there are connections, since each running request has its own. A lower bound takes effect as calls end; idle connections over it stay open until then.

Ruled out: counting connections in the gate. libcurl keeps the idle ones, and its total bound closes the oldest idle one before it opens another.

Figures: 40 calls, half of them on fresh connections, use at most 3 connections with a bound of 3.

Conclusion: the bound holds, idle connections included. It is tested at the client and the gate; no test counts the connections of a whole daemon.

--- a/include/chivefold/io/http_client.h
+++ b/include/chivefold/io/http_client.h
@@ -62,6 +62,10 @@
    */
   HttpCallId start(HttpCall call, Callback done);
 
+  /** Changes the bound of open connections, idle ones included; at least 1.
+   * Connections over a lower bound are closed as calls end. */
+  void setMaxConnections(std::size_t max);
+
   /** Aborts a call without running its callback. */
   void cancel(HttpCallId id);
 
--- a/src/core/gate.cpp
+++ b/src/core/gate.cpp
@@ -33,7 +33,8 @@
 constexpr Duration MaxRetryAfter = std::chrono::milliseconds(1000);
 
 ServerLimits sane(ServerLimits limits) {
-  limits.Slots = std::max(1U, limits.Slots);
+  // Each running request has a connection of its own.
+  limits.Slots = std::clamp(limits.Slots, 1U, std::max(1U, limits.Connections));
   limits.ColdSlots = std::clamp(limits.ColdSlots, 1U, limits.Slots);
   return limits;
 }
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -38,6 +38,7 @@
   HttpCallId start(HttpCall call, Callback done);
   void cancel(std::uint64_t id);
   void activate();
+  void setMaxConnections(std::size_t max);
   void finish(std::uint64_t id, HttpOutcome outcome);
   void expire(std::uint64_t id);
   void collect();
@@ -66,9 +67,7 @@
     : Loop(reactor), MaxConnections(maxConnections) {
   initCurl();
   Multi = curl_multi_init();
-  const auto max = static_cast<long>(maxConnections);
-  curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, max);
-  curl_multi_setopt(Multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, max);
+  setMaxConnections(maxConnections);
   curl_multi_setopt(Multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
   curl_multi_setopt(Multi, CURLMOPT_SOCKETFUNCTION, &Impl::socketCallback);
   curl_multi_setopt(Multi, CURLMOPT_SOCKETDATA, this);
@@ -111,6 +110,14 @@
   return static_cast<HttpCallId>(id);
 }
 
+void HttpClient::Impl::setMaxConnections(std::size_t max) {
+  MaxConnections = std::max<std::size_t>(max, 1);
+  const auto limit = static_cast<long>(MaxConnections);
+  curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, limit);
+  curl_multi_setopt(Multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, limit);
+  activate();
+}
+
 void HttpClient::Impl::activate() {
   while (Active < MaxConnections && !Queue.empty()) {
     const auto id = Queue.front();
@@ -252,6 +259,10 @@
   return State->start(std::move(call), std::move(done));
 }
 
+void HttpClient::setMaxConnections(std::size_t max) {
+  State->setMaxConnections(max);
+}
+
 void HttpClient::cancel(HttpCallId id) {
   State->cancel(static_cast<std::uint64_t>(id));
 }
--- a/tests/unit/gate_test.cpp
+++ b/tests/unit/gate_test.cpp
@@ -277,3 +277,17 @@
   CHECK(refused.Code == ErrorCode::ConnectionFailed);
   CHECK(refused.RetryAfter > Duration::zero());
 }
+
+// Guards against a running request that has to wait for a connection, because
+// the server bears fewer connections than it has slots.
+TEST_CASE("slots do not exceed the connections", "[gate]") {
+  ServerLimits limits;
+  limits.Slots = 10;
+  limits.ColdSlots = 10;
+  limits.Connections = 3;
+  Gate gate(limits);
+  for (std::uint64_t n = 1; n <= 5; ++n) {
+    const auto expected = n <= 3 ? Admitted::Run : Admitted::Queued;
+    CHECK(gate.admit(request(n, 1), T0).Kind == expected);
+  }
+}
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -2,9 +2,11 @@
 
 #include "raw_socket.h"
 
+#include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <thread>
+#include <vector>
 
 using namespace chivefold;
 
@@ -136,3 +138,47 @@
     CHECK(arrived == (fresh ? 2 : 3));
   }
 }
+
+// Guards against more connections to a backend server than it bears: idle ones
+// count too, also beside calls that need a fresh connection.
+TEST_CASE("idle connections count against the bound", "[http_client]") {
+  ClientFixture f;
+  f.Client->setMaxConnections(3);
+  std::atomic<int> served{0};
+  std::ptrdiff_t most = 0;
+  std::vector<std::shared_ptr<RawSocket>> sockets;
+  std::vector<std::thread> connections;
+  std::thread server([&] {
+    for (;;) {
+      auto s = std::make_shared<RawSocket>(f.Listener.accepted());
+      if (!s->isOpen()) {
+        return;
+      }
+      sockets.push_back(s);
+      // A close arrives before the connection that takes its place.
+      most = std::max(
+          most, std::count_if(sockets.begin(), sockets.end(),
+                              [](auto &it) { return !it->peerClosed(); }));
+      connections.emplace_back([&, s] {
+        while (!s->readUntil("work").empty()) {
+          ++served;
+          s->write(Ok);
+        }
+      });
+    }
+  });
+  int done = 0;
+  for (int n = 0; n < 40; ++n) {
+    f.Client->start(f.call(n % 2 == 0),
+                    [&](const HttpOutcome &o) { done += o.Response ? 1 : 0; });
+  }
+  REQUIRE(runUntil(f.Loop, [&] { return done == 40; }));
+  f.Client.reset();
+  f.Listener.shutDown();
+  server.join();
+  for (auto &it : connections) {
+    it.join();
+  }
+  CHECK(served == 40);
+  CHECK(most == 3);
+}
--- a/tests/unit/raw_socket.h
+++ b/tests/unit/raw_socket.h
@@ -88,6 +88,15 @@
     const auto n = recv(Fd, &byte, 1, MSG_DONTWAIT);
     return n == 0 || (n < 0 && errno == ECONNRESET);
   }
+  bool isOpen() const { return Fd >= 0; }
+  /** @return whether the peer closed the connection and all was read. Takes
+   * nothing from another reader. */
+  bool peerClosed() const {
+    char byte = 0;
+    return recv(Fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK) == 0;
+  }
+  /** Ends a blocking accept in another thread. */
+  void shutDown() const { shutdown(Fd, SHUT_RDWR); }
   void reset() {
     if (Fd >= 0) {
       close(Fd);
