Quarantine poison requests at every daemon

Cause: PoisonTable was not wired, and SafeSteps had a second mechanism for the same. A request that crashes servers could crash one after the other.

PoisonTable is the only mechanism now. The gate's daemon records a death when a connection breaks after the request was sent; the caller's daemon takes it from the gate's answer. A death is a pair of digest and server (named by its daemon's address, since backend servers listen on loopback), so copies count once. Each new death goes once to 4 peers; the 8 newest are on probes for the daemons that the fanout misses, and joining daemons get all. They carry their age. An answer below 500 clears a death everywhere; a request answered in the last 10 s is not suspected, since frequent requests share a digest and are in flight at most deaths. Quarantined requests are refused at the entry, before each attempt and at the gate: 503 not-run, or 504 unknown if they bring a key or were attempted.

Tests: quarantine tests of SafeSteps are replaced, since that kind is gone: its end and the copy under way are tested at PoisonTable, the bound of SafeSteps with take-outs. Seen failing: each new test of PoisonTable (a late copy counts, a clearance clears later deaths, innocence never ends, ages start anew), the bound of SafeSteps (one step more), and poison.sh without the refusal.

Ruled out: deciding by the broken link to a daemon (a lost link is not a dead server), and a quarantine that one success lifts (it may be a late answer).

Daemons that get it for the first time within the same milliseconds can still crash one server each.

--- a/include/chivefold/core/error.h
+++ b/include/chivefold/core/error.h
@@ -30,6 +30,7 @@
   OutcomeUnknown,
   TooLarge,
   Conflict,
+  Quarantined,
 };
 
 /** @return the stable lower-case name of @p ec, used in logs and output.
--- a/include/chivefold/core/safe_steps.h
+++ b/include/chivefold/core/safe_steps.h
@@ -23,8 +23,6 @@
   TakeBack,
   /** Takes a data centre out. */
   TakeOut,
-  /** Rejects requests that crashed backend servers. */
-  Quarantine,
 };
 
 /** @return the lower-case name of @p kind. Thread-safe. */
@@ -34,50 +32,40 @@
 /** One safe step. */
 struct SafeStep {
   SafeStepKind Kind = SafeStepKind::TakeBack;
-  /** TakeBack: the service. TakeOut: the data centre. Quarantine: empty. */
+  /** TakeBack: the service. TakeOut: the data centre. */
   std::string Subject;
   /** TakeBack: the move. */
   Version Move = Version::None;
   /** TakeOut: applied offset of the daemon that started it; a put-back record
    * after it supersedes the step. */
   LogOffset AfterOffset = LogOffset::None;
-  /** Quarantine: digest of the request. */
-  std::uint64_t RequestDigest = 0;
-  /** Quarantine: backend servers that died while they ran it. */
-  std::uint32_t Count = 0;
   /** For operators. */
   std::string Reason;
 };
 
 /**
  * Overlay of safe steps over a control state. It only grows until a later log
- * record supersedes a step, or a quarantine expires. Not thread-safe.
+ * record supersedes a step. Not thread-safe.
  */
 class SafeSteps {
 public:
-  /** On overflow the quarantine that ends first is evicted; if there is none,
-   * the new step is ignored and takes effect by its log record only. */
+  /** On overflow the new step is ignored and takes effect by its log record
+   * only. */
   static constexpr std::size_t MaxSteps = 1024;
   /** Steps with longer subjects are ignored; longer reasons are cut. */
   static constexpr std::size_t MaxSubjectBytes =
       ConfigurationLimits::MaxNameBytes;
   static constexpr std::size_t MaxReasonBytes = 256;
-  static constexpr std::uint32_t QuarantineCount = 2;
-  static constexpr Duration QuarantineTime = std::chrono::minutes(10);
-  /** Expired quarantines are remembered as long again, so that a copy that
-   * still spreads does not start them anew. */
-  static constexpr Duration QuarantineMemory = 2 * QuarantineTime;
 
   /** @param state outlives this object. */
   explicit SafeSteps(const ControlState &state) : State(state) {}
 
   /** Adds a step unless it is known, superseded or does not fit.
    * @return whether it was new; the caller then forwards it once. */
-  bool merge(SafeStep step, TimePoint now);
+  bool merge(SafeStep step);
 
-  /** Drops superseded steps and forgets old quarantines. Call after records
-   * were applied and about once a second. */
-  void prune(TimePoint now);
+  /** Drops superseded steps. Call after records were applied. */
+  void prune();
 
   /** @return share of the running move in basis points, 0 if there is none. */
   std::uint32_t shareOf(std::string_view service) const;
@@ -85,30 +73,17 @@
   /** @return whether @p dataCentre gets no new work. */
   bool isTakenOut(std::string_view dataCentre) const;
 
-  /** @return whether requests with @p digest are rejected. */
-  bool isQuarantined(std::uint64_t digest, TimePoint now) const;
-
   /** @return all steps in effect, for joining daemons. */
-  std::vector<SafeStep> steps(TimePoint now) const;
+  std::vector<SafeStep> steps() const;
 
-  std::size_t size() const {
-    return TakeBacks.size() + TakeOuts.size() + Quarantines.size();
-  }
+  std::size_t size() const { return TakeBacks.size() + TakeOuts.size(); }
 
 private:
-  struct QuarantineEntry {
-    SafeStep Step;
-    TimePoint Until{};
-    TimePoint ForgetAt{};
-  };
   bool superseded(const SafeStep &step) const;
-  bool mergeQuarantine(const SafeStep &step, TimePoint now);
-  bool makeRoom();
 
   const ControlState &State;
   std::map<std::string, SafeStep, std::less<>> TakeBacks;
   std::map<std::string, SafeStep, std::less<>> TakeOuts;
-  std::map<std::uint64_t, QuarantineEntry> Quarantines;
 };
 
 } // namespace chivefold
--- a/include/chivefold/daemon/call_runner.h
+++ b/include/chivefold/daemon/call_runner.h
@@ -36,7 +36,8 @@
   static constexpr std::size_t MaxCalls = 10000;
 
   CallRunner(Reactor &reactor, PeerNetwork &network, Router &router,
-             RetryTokens &tokens, GateService &gate, Address self);
+             RetryTokens &tokens, GateService &gate, PoisonService &poison,
+             Address self);
   ~CallRunner();
   CallRunner(const CallRunner &) = delete;
   CallRunner &operator=(const CallRunner &) = delete;
@@ -60,6 +61,8 @@
                   const CallMessage &message);
   void attemptEnded(const std::shared_ptr<Call> &call, std::uint32_t attempt,
                     CallResult result);
+  void refusePoison(const std::shared_ptr<Call> &call, Duration left);
+  void learnPoison(const Call &call, const CallResult &result);
   void feedBack(const Call &call, const CallResult &result);
   void finish(const std::shared_ptr<Call> &call, const FinishCall &decision);
   void abortAttempt(Call &call);
@@ -69,6 +72,7 @@
   Router &Routes;
   RetryTokens &Tokens;
   GateService &LocalGate;
+  PoisonService &Poison;
   Address Self;
   std::uint64_t NextId = 1;
   std::unordered_map<CallId, std::shared_ptr<Call>> Calls;
--- a/include/chivefold/daemon/caller_service.h
+++ b/include/chivefold/daemon/caller_service.h
@@ -22,6 +22,7 @@
   CallRunner &Runner;
   ClaimService &Claims;
   Metrics &Figures;
+  const PoisonService &Poison;
 };
 
 /** Used on the reactor's thread only. */
@@ -42,6 +43,8 @@
   };
 
   std::optional<CallResult> refuseEarly(const HttpRequest &request) const;
+  std::optional<CallResult> refusePoison(const HttpRequest &request,
+                                         const Accepted &accepted) const;
   Result<Accepted> accept(const HttpRequest &request);
   Status readHeaders(const HttpRequest &request, Accepted &accepted);
   std::string randomKey();
--- a/include/chivefold/daemon/control_service.h
+++ b/include/chivefold/daemon/control_service.h
@@ -11,6 +11,7 @@
 #include "chivefold/core/member_table.h"
 #include "chivefold/core/safe_steps.h"
 #include "chivefold/daemon/membership_service.h"
+#include "chivefold/daemon/poison_service.h"
 #include "chivefold/io/log_client.h"
 #include "chivefold/io/logging.h"
 #include "chivefold/io/peer_network.h"
@@ -28,6 +29,7 @@
   SafeSteps &Steps;
   MemberTable &Members;
   Dissemination &Records;
+  PoisonService &Poison;
 };
 
 /** Whether the log answers, as this daemon last saw it. */
@@ -96,6 +98,11 @@
   void heardProgress(
       const Address &peer, LogOffset applied, std::uint64_t digest,
       const std::vector<std::unique_ptr<wire::SafeStepT>> &steps) override;
+  std::vector<std::unique_ptr<wire::PoisonDeathT>> deathsToSend() override;
+  /** @return the deaths for a joining daemon, a bounded number. */
+  std::vector<std::unique_ptr<wire::PoisonDeathT>> deathsForJoin();
+  void heardDeaths(
+      const std::vector<std::unique_ptr<wire::PoisonDeathT>> &deaths) override;
 
 private:
   void tick();
--- a/include/chivefold/daemon/gate_service.h
+++ b/include/chivefold/daemon/gate_service.h
@@ -9,6 +9,7 @@
 #include "chivefold/core/gate.h"
 #include "chivefold/core/sequential_test.h"
 #include "chivefold/daemon/call_message.h"
+#include "chivefold/daemon/poison_service.h"
 #include "chivefold/daemon/settings.h"
 #include "chivefold/io/http_client.h"
 #include "chivefold/io/reactor.h"
@@ -27,7 +28,7 @@
 class GateService {
 public:
   GateService(Reactor &reactor, HttpClient &client, const Settings &settings,
-              const ControlState &state);
+              const ControlState &state, PoisonService &poison);
   ~GateService();
   GateService(const GateService &) = delete;
   GateService &operator=(const GateService &) = delete;
@@ -59,9 +60,13 @@
     HttpCallId Http = HttpCallId::None;
     TimePoint StartedAt{};
     bool Running = false;
+    RequestDigest Digest = RequestDigest::None;
   };
 
   void startRunning(GateRequestId id);
+  bool refusePoison(GateRequestId id);
+  void learnPoison(const OpenCall &open, const CallResult &answer,
+                   ServerResult result);
   void finished(GateRequestId id, HttpOutcome outcome);
   CallResult classify(HttpOutcome &outcome, ServerResult &result) const;
   void reject(GateRequestId id, ErrorCode code, Duration retryAfter);
@@ -76,6 +81,7 @@
   HttpClient &Client;
   const Settings &Own;
   const ControlState &State;
+  PoisonService &Poison;
   Gate Admission;
   std::uint64_t NextId = 1;
   /** Bounded by the gate's slots and queue. */
--- a/include/chivefold/daemon/membership_service.h
+++ b/include/chivefold/daemon/membership_service.h
@@ -29,6 +29,11 @@
   virtual void
   heardProgress(const Address &peer, LogOffset applied, std::uint64_t digest,
                 const std::vector<std::unique_ptr<wire::SafeStepT>> &steps) = 0;
+  /** @return the newest deaths of backend servers, a bounded number. */
+  virtual std::vector<std::unique_ptr<wire::PoisonDeathT>> deathsToSend() = 0;
+  /** A peer sent deaths of backend servers. */
+  virtual void heardDeaths(
+      const std::vector<std::unique_ptr<wire::PoisonDeathT>> &deaths) = 0;
 };
 
 /**
--- /dev/null
+++ b/include/chivefold/daemon/poison_service.h
@@ -0,0 +1,68 @@
+/**
+ * @file
+ * Spreads the deaths of backend servers and refuses requests that cause them.
+ */
+#ifndef CHIVEFOLD_DAEMON_POISON_SERVICE_H
+#define CHIVEFOLD_DAEMON_POISON_SERVICE_H
+
+#include "chivefold/core/member_table.h"
+#include "chivefold/core/poison_table.h"
+#include "chivefold/daemon/call_message.h"
+#include "chivefold/io/logging.h"
+#include "chivefold/io/peer_network.h"
+#include "chivefold/io/reactor.h"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace chivefold {
+
+/** @return the digest of service, method, target and body. Thread-safe. */
+RequestDigest digestOf(const CallMessage &call);
+
+/** Used on the reactor's thread only. */
+class PoisonService {
+public:
+  /** Peers that get each new death. */
+  static constexpr std::size_t Fanout = 4;
+  /** Deaths on each probe, for daemons that the fanout misses. Older ones are
+   * left out; about 50 B each. */
+  static constexpr std::size_t DeathsPerProbe = 8;
+  /** Deaths for a joining daemon; older ones are left out. */
+  static constexpr std::size_t DeathsPerJoin = 2 * PoisonTable::MaxDigests;
+
+  PoisonService(Reactor &reactor, PeerNetwork &network, MemberTable &members);
+
+  /** The backend server beside the daemon at @p server died while it ran the
+   * request. The daemon's address identifies the server, since the server's own
+   * may be the same loopback address on every host. */
+  void serverDied(const Address &server, RequestDigest digest);
+
+  /** A backend server answered the request. */
+  void succeeded(RequestDigest digest);
+
+  /** @return time until the request is accepted again, if it is refused. */
+  std::optional<Duration> quarantined(RequestDigest digest) const;
+
+  /** Handles deaths that a peer sent. */
+  void onDeath(const wire::PoisonDeathT &death);
+  void onDeaths(const std::vector<std::unique_ptr<wire::PoisonDeathT>> &deaths);
+
+  /** @return up to @p max known deaths, for peers. */
+  std::vector<std::unique_ptr<wire::PoisonDeathT>>
+  deathsToSend(std::size_t max) const;
+
+private:
+  void spread(const PoisonStep &step);
+
+  Reactor &Loop;
+  PeerNetwork &Network;
+  MemberTable &Members;
+  PoisonTable Table;
+  Logger Lines{"poison"};
+};
+
+} // namespace chivefold
+
+#endif
--- a/include/chivefold/daemon/wire_convert.h
+++ b/include/chivefold/daemon/wire_convert.h
@@ -6,6 +6,7 @@
 #define CHIVEFOLD_DAEMON_WIRE_CONVERT_H
 
 #include "chivefold/core/member_table.h"
+#include "chivefold/core/poison_table.h"
 #include "chivefold/core/safe_steps.h"
 #include "chivefold/core/types.h"
 #include "peer_generated.h"
@@ -40,6 +41,10 @@
 std::unique_ptr<wire::SafeStepT> stepToWire(const SafeStep &step);
 std::optional<SafeStep> stepFromWire(const wire::SafeStepT &step);
 
+/** Converts deaths; nothing if the server has no address. Thread-safe. */
+std::unique_ptr<wire::PoisonDeathT> poisonToWire(const PoisonStep &step);
+std::optional<PoisonStep> poisonFromWire(const wire::PoisonDeathT &death);
+
 /** @return a frame body that holds @p table. Thread-safe. */
 template <class T> wire::FrameBodyUnion frameBody(T table) {
   wire::FrameBodyUnion body;
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -5,7 +5,7 @@
 namespace chivefold {
 namespace {
 
-constexpr EnumNames<ErrorCode, 15> ErrorNames{{{
+constexpr EnumNames<ErrorCode, 16> ErrorNames{{{
     {ErrorCode::Ok, "ok"},
     {ErrorCode::InvalidArgument, "invalid-argument"},
     {ErrorCode::InvalidText, "invalid-text"},
@@ -21,6 +21,7 @@
     {ErrorCode::OutcomeUnknown, "outcome-unknown"},
     {ErrorCode::TooLarge, "too-large"},
     {ErrorCode::Conflict, "conflict"},
+    {ErrorCode::Quarantined, "quarantined"},
 }}};
 
 } // namespace
--- a/src/core/poison_table.cpp
+++ b/src/core/poison_table.cpp
@@ -16,7 +16,7 @@
   std::vector<PoisonStep> steps;
   for (const auto digest : inFlight) {
     if (record(digest, server, now, now)) {
-      steps.push_back({digest, server, Duration::zero()});
+      steps.push_back({digest, server, Duration::zero(), false});
     }
   }
   return steps;
@@ -24,12 +24,20 @@
 
 bool PoisonTable::merge(const PoisonStep &step, TimePoint now) {
   const auto age = std::max(step.Age, Duration::zero());
-  return age < QuarantineTime &&
-         record(step.Digest, step.Server, now - age, now);
+  if (age >= QuarantineTime) {
+    return false;
+  }
+  return step.Cleared ? clear(step.Digest, now - age, now)
+                      : record(step.Digest, step.Server, now - age, now);
 }
 
 bool PoisonTable::record(RequestDigest digest, const Address &server,
                          TimePoint diedAt, TimePoint now) {
+  // A copy of a death that is still under way must not undo an answer.
+  const auto answer = answeredAt(digest);
+  if (answer && *answer > diedAt) {
+    return false;
+  }
   auto it = Entries.find(digest);
   if (it == Entries.end()) {
     if (Entries.size() >= MaxDigests) {
@@ -62,10 +70,65 @@
   Ages.erase(age);
 }
 
-void PoisonTable::succeeded(RequestDigest digest, TimePoint now) {
-  if (Entries.count(digest) != 0 && !quarantined(digest, now)) {
-    erase(digest);
+std::optional<PoisonStep> PoisonTable::succeeded(RequestDigest digest,
+                                                 TimePoint now) {
+  const auto it = Entries.find(digest);
+  const auto server = it != Entries.end() && !it->second.Deaths.empty()
+                          ? it->second.Deaths.front().Server
+                          : Address();
+  if (!clear(digest, now, now)) {
+    return std::nullopt;
+  }
+  return PoisonStep{digest, server, Duration::zero(), true};
+}
+
+bool PoisonTable::clear(RequestDigest digest, TimePoint answeredAt,
+                        TimePoint now) {
+  if (quarantined(digest, now)) {
+    return false;
+  }
+  auto &answer = Answers[static_cast<std::size_t>(digest) % MaxAnswers];
+  if (answer.Digest != digest || answer.At < answeredAt) {
+    answer = {digest, answeredAt};
+  }
+  const auto it = Entries.find(digest);
+  const auto isLater = [answeredAt](const Death &d) {
+    return d.At > answeredAt;
+  };
+  if (it == Entries.end() || std::any_of(it->second.Deaths.begin(),
+                                         it->second.Deaths.end(), isLater)) {
+    return false;
+  }
+  erase(digest);
+  return true;
+}
+
+std::optional<TimePoint> PoisonTable::answeredAt(RequestDigest digest) const {
+  const auto &answer = Answers[static_cast<std::size_t>(digest) % MaxAnswers];
+  return answer.Digest == digest && answer.At != TimePoint{}
+             ? std::optional<TimePoint>(answer.At)
+             : std::nullopt;
+}
+
+bool PoisonTable::isInnocent(RequestDigest digest, TimePoint now) const {
+  const auto answer = answeredAt(digest);
+  return answer && now - *answer < InnocentTime;
+}
+
+std::vector<PoisonStep> PoisonTable::steps(std::size_t max,
+                                           TimePoint now) const {
+  std::vector<PoisonStep> all;
+  for (auto it = Ages.rbegin(); it != Ages.rend(); ++it) {
+    for (const auto &death : Entries.at(*it).Deaths) {
+      if (all.size() >= max) {
+        return all;
+      }
+      if (now - death.At < QuarantineTime) {
+        all.push_back({*it, death.Server, now - death.At, false});
+      }
+    }
   }
+  return all;
 }
 
 std::optional<Duration> PoisonTable::quarantined(RequestDigest digest,
--- a/src/core/safe_steps.cpp
+++ b/src/core/safe_steps.cpp
@@ -7,10 +7,9 @@
 namespace chivefold {
 namespace {
 
-constexpr EnumNames<SafeStepKind, 3> SafeStepNames{{{
+constexpr EnumNames<SafeStepKind, 2> SafeStepNames{{{
     {SafeStepKind::TakeBack, "take-back"},
     {SafeStepKind::TakeOut, "take-out"},
-    {SafeStepKind::Quarantine, "quarantine"},
 }}};
 
 template <class Map, class Drop> void eraseIf(Map &map, const Drop &drop) {
@@ -34,24 +33,18 @@
     const auto *dc = State.dataCentre(step.Subject);
     return dc != nullptr && dc->Offset > step.AfterOffset;
   }
-  if (step.Kind == SafeStepKind::TakeBack) {
-    const auto *m = State.move(step.Subject);
-    if (m == nullptr) {
-      return State.applied() >= step.Move;
-    }
-    return m->Move > step.Move || (m->Move == step.Move && m->Ended);
+  const auto *m = State.move(step.Subject);
+  if (m == nullptr) {
+    return State.applied() >= step.Move;
   }
-  return false;
+  return m->Move > step.Move || (m->Move == step.Move && m->Ended);
 }
 
-bool SafeSteps::merge(SafeStep step, TimePoint now) {
+bool SafeSteps::merge(SafeStep step) {
   if (step.Subject.size() > MaxSubjectBytes) {
     return false;
   }
   step.Reason.resize(std::min(step.Reason.size(), MaxReasonBytes));
-  if (step.Kind == SafeStepKind::Quarantine) {
-    return mergeQuarantine(step, now);
-  }
   if (superseded(step)) {
     return false;
   }
@@ -65,7 +58,7 @@
     }
     return newer;
   }
-  if (!makeRoom()) {
+  if (size() >= MaxSteps) {
     return false;
   }
   const auto subject = step.Subject;
@@ -73,41 +66,10 @@
   return true;
 }
 
-bool SafeSteps::mergeQuarantine(const SafeStep &step, TimePoint now) {
-  const auto it = Quarantines.find(step.RequestDigest);
-  if (it == Quarantines.end()) {
-    if (!makeRoom()) {
-      return false;
-    }
-  } else if (it->second.Step.Count >= step.Count) {
-    return false;
-  }
-  Quarantines[step.RequestDigest] = {step, now + QuarantineTime,
-                                     now + QuarantineMemory};
-  return true;
-}
-
-bool SafeSteps::makeRoom() {
-  if (size() < MaxSteps) {
-    return true;
-  }
-  const auto first = std::min_element(Quarantines.begin(), Quarantines.end(),
-                                      [](const auto &a, const auto &b) {
-                                        return a.second.Until < b.second.Until;
-                                      });
-  if (first == Quarantines.end()) {
-    return false;
-  }
-  Quarantines.erase(first);
-  return true;
-}
-
-void SafeSteps::prune(TimePoint now) {
+void SafeSteps::prune() {
   const auto old = [&](const SafeStep &s) { return superseded(s); };
   eraseIf(TakeBacks, old);
   eraseIf(TakeOuts, old);
-  eraseIf(Quarantines,
-          [&](const QuarantineEntry &q) { return q.ForgetAt <= now; });
 }
 
 std::uint32_t SafeSteps::shareOf(std::string_view service) const {
@@ -126,13 +88,7 @@
          (it != TakeOuts.end() && !superseded(it->second));
 }
 
-bool SafeSteps::isQuarantined(std::uint64_t digest, TimePoint now) const {
-  const auto it = Quarantines.find(digest);
-  return it != Quarantines.end() && it->second.Step.Count >= QuarantineCount &&
-         now < it->second.Until;
-}
-
-std::vector<SafeStep> SafeSteps::steps(TimePoint now) const {
+std::vector<SafeStep> SafeSteps::steps() const {
   std::vector<SafeStep> all;
   for (const auto &it : TakeBacks) {
     all.push_back(it.second);
@@ -140,11 +96,6 @@
   for (const auto &it : TakeOuts) {
     all.push_back(it.second);
   }
-  for (const auto &it : Quarantines) {
-    if (now < it.second.Until) {
-      all.push_back(it.second.Step);
-    }
-  }
   return all;
 }
 
--- a/src/daemon/admin_service.cpp
+++ b/src/daemon/admin_service.cpp
@@ -159,7 +159,7 @@
     body["data_centres"].push_back(
         {{"name", it}, {"taken_out", Parts.Steps.isTakenOut(it)}});
   }
-  for (const auto &it : Parts.Steps.steps(Loop.now())) {
+  for (const auto &it : Parts.Steps.steps()) {
     body["safe_steps"].push_back(toJson(it));
   }
   return jsonResponse(200, body);
--- a/src/daemon/call_runner.cpp
+++ b/src/daemon/call_runner.cpp
@@ -9,11 +9,13 @@
       : Message(std::move(message)),
         Policy(CallTerms{Message.Deadline, Message.Repeatable,
                          Message.RetryBudget},
-               tokens) {}
+               tokens),
+        Digest(digestOf(Message)) {}
 
   CallId Id = CallId::None;
   CallMessage Message;
   CallPolicy Policy;
+  RequestDigest Digest;
   AttemptHooks Hooks;
   CallReply Reply;
   /** The attempt in progress. */
@@ -53,9 +55,10 @@
 } // namespace
 
 CallRunner::CallRunner(Reactor &reactor, PeerNetwork &network, Router &router,
-                       RetryTokens &tokens, GateService &gate, Address self)
+                       RetryTokens &tokens, GateService &gate,
+                       PoisonService &poison, Address self)
     : Loop(reactor), Network(network), Routes(router), Tokens(tokens),
-      LocalGate(gate), Self(std::move(self)) {}
+      LocalGate(gate), Poison(poison), Self(std::move(self)) {}
 
 CallRunner::~CallRunner() = default;
 
@@ -91,6 +94,10 @@
 }
 
 void CallRunner::route(const std::shared_ptr<Call> &call) {
+  if (const auto left = Poison.quarantined(call->Digest)) {
+    refusePoison(call, *left);
+    return;
+  }
   const auto choice =
       Routes.choose(call->Message.Service, call->Policy.tried(), Loop.now());
   CallEvent event;
@@ -100,6 +107,26 @@
   step(call, event);
 }
 
+void CallRunner::refusePoison(const std::shared_ptr<Call> &call,
+                              Duration left) {
+  const bool mayHaveRun = call->Policy.mayHaveRun();
+  finish(call, {mayHaveRun ? Outcome::Unknown : Outcome::NotRun,
+                static_cast<std::uint16_t>(mayHaveRun ? 504 : 503), left,
+                ErrorCode::Quarantined});
+}
+
+void CallRunner::learnPoison(const Call &call, const CallResult &result) {
+  if (result.Result == Outcome::Unknown &&
+      result.Code == ErrorCode::ConnectionFailed && result.Gate.Limit != 0) {
+    // The gate says that its backend server died. It spreads the death too, but
+    // that may arrive after the next attempt; both name the same server, so the
+    // death counts once.
+    Poison.serverDied(call.Server, call.Digest);
+  } else if (result.Result == Outcome::Answered && result.Status < 500) {
+    Poison.succeeded(call.Digest);
+  }
+}
+
 void CallRunner::send(const std::shared_ptr<Call> &call, const SendTo &send) {
   if (call->Hooks.Starting && !call->Hooks.Starting()) {
     finish(call, {Outcome::Unknown, 504, DefaultRetryAfter,
@@ -155,9 +182,16 @@
   call->Remote = PeerRequestId::None;
   call->Local = GateRequestId::None;
   feedBack(*call, result);
+  learnPoison(*call, result);
   if (result.Result == Outcome::NotRun && call->Hooks.NotRun) {
     call->Hooks.NotRun();
   }
+  if (result.Code == ErrorCode::Quarantined) {
+    const auto left = result.RetryAfter;
+    call->Policy.next(eventOf(result), Loop.now());
+    refusePoison(call, left);
+    return;
+  }
   const auto event = eventOf(result);
   call->Last = std::move(result);
   step(call, event);
@@ -166,7 +200,10 @@
 void CallRunner::feedBack(const Call &call, const CallResult &result) {
   const auto now = Loop.now();
   const auto latency = now - call.SentAt;
-  if (result.Result == Outcome::Answered && result.Status < 500) {
+  if (result.Code == ErrorCode::Quarantined) {
+    // Says nothing about the server.
+    Routes.cancelled(call.Server);
+  } else if (result.Result == Outcome::Answered && result.Status < 500) {
     Routes.answered(call.Server, latency, result.Gate, now);
   } else if (result.Result == Outcome::NotRun &&
              result.Code != ErrorCode::ConnectionFailed) {
--- a/src/daemon/caller_service.cpp
+++ b/src/daemon/caller_service.cpp
@@ -61,6 +61,19 @@
                     ErrorCode::NotReady, keyed ? 504 : 503, NotReadyRetryAfter);
 }
 
+std::optional<CallResult>
+CallerService::refusePoison(const HttpRequest &request,
+                            const Accepted &accepted) const {
+  const auto left = Parts.Poison.quarantined(digestOf(accepted.Call));
+  if (!left) {
+    return std::nullopt;
+  }
+  // A request that brings its key may be a repeat of one that has run.
+  const bool keyed = !headerValue(request.Headers, CallHeaders::Key).empty();
+  return failedCall(keyed ? Outcome::Unknown : Outcome::NotRun,
+                    ErrorCode::Quarantined, keyed ? 504 : 503, *left);
+}
+
 Status CallerService::readHeaders(const HttpRequest &request,
                                   Accepted &accepted) {
   const auto &route = *accepted.Matched;
@@ -135,6 +148,11 @@
     respond(exchange, failedCall(Outcome::NotRun, ec, statusOf(ec), {}));
     return;
   }
+  if (auto refused = refusePoison(exchange->request(), *accepted)) {
+    record(*accepted, *refused, Loop.now());
+    respond(exchange, std::move(*refused));
+    return;
+  }
   run(exchange, std::move(*accepted));
 }
 
--- a/src/daemon/claim_service.cpp
+++ b/src/daemon/claim_service.cpp
@@ -37,7 +37,7 @@
 }
 
 /** Identifies the request that a key stands for. */
-std::uint64_t digestOf(const CallMessage &call) {
+std::uint64_t contentOf(const CallMessage &call) {
   return hash64(call.Body, hash64(call.Target, hash64(call.Method)));
 }
 
@@ -73,7 +73,7 @@
     return;
   }
   const auto id = WaiterId{NextWaiter++};
-  const auto digest = digestOf(call);
+  const auto digest = contentOf(call);
   const auto deadline = call.Deadline;
   auto &waiter = Waiters[id];
   waiter.Key = key;
--- a/src/daemon/control_service.cpp
+++ b/src/daemon/control_service.cpp
@@ -54,7 +54,7 @@
   if (const auto due = Parts.Records.tick(now)) {
     fetch(*due);
   }
-  Parts.Steps.prune(now);
+  Parts.Steps.prune();
   readLog();
   if (!WasReady) {
     const auto better =
@@ -150,7 +150,7 @@
   if (count == 0) {
     return;
   }
-  Parts.Steps.prune(Loop.now());
+  Parts.Steps.prune();
   Parts.Members.setFloor(Parts.State.applied());
   Lines.debug("records applied", {{"count", count},
                                   {"applied", raw(Parts.State.applied())},
@@ -278,7 +278,7 @@
 }
 
 void ControlService::mergeStep(const SafeStep &step) {
-  if (!Parts.Steps.merge(step, Loop.now())) {
+  if (!Parts.Steps.merge(step)) {
     return;
   }
   Lines.info("safe step in force", {{"kind", safeStepName(step.Kind)},
@@ -300,12 +300,27 @@
 
 std::vector<std::unique_ptr<wire::SafeStepT>> ControlService::stepsToSend() {
   std::vector<std::unique_ptr<wire::SafeStepT>> steps;
-  for (const auto &it : Parts.Steps.steps(Loop.now())) {
+  for (const auto &it : Parts.Steps.steps()) {
     steps.push_back(stepToWire(it));
   }
   return steps;
 }
 
+std::vector<std::unique_ptr<wire::PoisonDeathT>>
+ControlService::deathsToSend() {
+  return Parts.Poison.deathsToSend(PoisonService::DeathsPerProbe);
+}
+
+std::vector<std::unique_ptr<wire::PoisonDeathT>>
+ControlService::deathsForJoin() {
+  return Parts.Poison.deathsToSend(PoisonService::DeathsPerJoin);
+}
+
+void ControlService::heardDeaths(
+    const std::vector<std::unique_ptr<wire::PoisonDeathT>> &deaths) {
+  Parts.Poison.onDeaths(deaths);
+}
+
 void ControlService::heardProgress(
     const Address &peer, LogOffset applied, std::uint64_t digest,
     const std::vector<std::unique_ptr<wire::SafeStepT>> &steps) {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -16,7 +16,8 @@
  * must get no new work after 3 s. */
 constexpr Duration LeaveNotice = std::chrono::milliseconds(1500);
 constexpr Duration DrainCheck = std::chrono::milliseconds(50);
-constexpr std::size_t BackendConnections = 512;
+/** Until the configuration states the bound of the backend server. */
+constexpr std::size_t BackendConnections = 100;
 constexpr std::size_t LogConnections = 8;
 
 Member selfOf(const Settings &s, std::uint64_t bootId, UtcTime now) {
@@ -66,6 +67,7 @@
   HttpClient LogHttp;
   LogClient Log;
   PeerNetwork Network;
+  PoisonService Poison;
   GateService Gate;
   ControlService Control;
   MembershipService Membership;
@@ -96,16 +98,16 @@
                      const PeerResponder &respond) {
                 onFrame(from, body, respond);
               }),
-      Gate(Loop, Backend, Own, State),
-      Control(Loop, Network, Log, {State, Steps, Members, Records}, Seeds(),
-              [this] { onApplied(); }),
+      Poison(Loop, Network, Members), Gate(Loop, Backend, Own, State, Poison),
+      Control(Loop, Network, Log, {State, Steps, Members, Records, Poison},
+              Seeds(), [this] { onApplied(); }),
       Membership(Loop, Network, Members, Control,
                  [this] { Routing.refresh(); }),
       Join(Loop, Network, Control, State, Membership, Members, Own, Seeds()),
-      Runner(Loop, Network, Routes, Tokens, Gate, Own.PeerListen),
+      Runner(Loop, Network, Routes, Tokens, Gate, Poison, Own.PeerListen),
       Claims(Loop, Network, Control, State, Runner, Self),
       Moves(Loop, Network, {Control, State, Steps, Members, Gate}, Own, Self),
-      Callers(Loop, {Control, State, Runner, Claims, Figures}, Seeds()),
+      Callers(Loop, {Control, State, Runner, Claims, Figures, Poison}, Seeds()),
       Admin(Loop,
             {Control, State, Steps, Members, Gate, Moves, Figures, Network},
             Own),
@@ -157,6 +159,8 @@
     return Control.onSnapshotRequest(respond);
   case wire::FrameBody::SafeStep:
     return Control.onStep(*body.AsSafeStep());
+  case wire::FrameBody::PoisonDeath:
+    return Poison.onDeath(*body.AsPoisonDeath());
   default:
     // Frames of a newer protocol are ignored; the sender sees a time-out.
     return;
--- a/src/daemon/gate_service.cpp
+++ b/src/daemon/gate_service.cpp
@@ -24,9 +24,10 @@
 } // namespace
 
 GateService::GateService(Reactor &reactor, HttpClient &client,
-                         const Settings &settings, const ControlState &state)
+                         const Settings &settings, const ControlState &state,
+                         PoisonService &poison)
     : Loop(reactor), Client(client), Own(settings), State(state),
-      Admission(limitsOf(state, settings.Service)) {}
+      Poison(poison), Admission(limitsOf(state, settings.Service)) {}
 
 GateService::~GateService() { Loop.cancel(Timer); }
 
@@ -35,8 +36,9 @@
   const auto now = Loop.now();
   const GateRequest request{id, call.Worth, call.Deadline, call.Repeatable};
   const bool ours = call.Service == Own.Service;
+  const auto digest = digestOf(call);
   Calls.emplace(id, OpenCall{std::move(call), std::move(reply),
-                             HttpCallId::None, now, false});
+                             HttpCallId::None, now, false, digest});
   if (!ours) {
     reject(id, ErrorCode::NotFound, DefaultRetryAfter);
     return id;
@@ -75,6 +77,9 @@
 }
 
 void GateService::startRunning(GateRequestId id) {
+  if (refusePoison(id)) {
+    return;
+  }
   auto &open = Calls.at(id);
   open.Running = true;
   open.StartedAt = Loop.now();
@@ -84,6 +89,30 @@
       });
 }
 
+bool GateService::refusePoison(GateRequestId id) {
+  const auto left = Poison.quarantined(Calls.at(id).Digest);
+  if (!left) {
+    return false;
+  }
+  const auto next = Admission.finish(id, ServerResult::Cancelled,
+                                     Duration::zero(), Loop.now());
+  reject(id, ErrorCode::Quarantined, *left);
+  for (const auto it : next) {
+    startRunning(it);
+  }
+  return true;
+}
+
+void GateService::learnPoison(const OpenCall &open, const CallResult &answer,
+                              ServerResult result) {
+  if (result == ServerResult::ConnectionFailed &&
+      answer.Result == Outcome::Unknown) {
+    Poison.serverDied(Own.PeerListen, open.Digest);
+  } else if (answer.Result == Outcome::Answered && answer.Status < 500) {
+    Poison.succeeded(open.Digest);
+  }
+}
+
 CallResult GateService::classify(HttpOutcome &outcome,
                                  ServerResult &result) const {
   if (outcome.Response) {
@@ -124,6 +153,7 @@
   ServerResult result = ServerResult::Ok;
   auto answer = classify(outcome, result);
   count(it->second.Message, answer, latency);
+  learnPoison(it->second, answer, result);
   for (const auto next : Admission.finish(id, result, latency, now)) {
     startRunning(next);
   }
@@ -171,7 +201,9 @@
 }
 
 void GateService::configurationChanged() {
-  for (const auto id : Admission.setLimits(limitsOf(State, Own.Service))) {
+  const auto limits = limitsOf(State, Own.Service);
+  Client.setMaxConnections(limits.Connections);
+  for (const auto id : Admission.setLimits(limits)) {
     reject(id, ErrorCode::Overloaded, DefaultRetryAfter);
   }
   dropOldCounts();
--- a/src/daemon/join_service.cpp
+++ b/src/daemon/join_service.cpp
@@ -80,6 +80,7 @@
   for (const auto &it : answer.steps) {
     Control.onStep(*it);
   }
+  Control.heardDeaths(answer.deaths);
   PeerAnswer said;
   said.Peer = peer;
   const auto *member = Members.find(peer);
@@ -103,6 +104,7 @@
   answer.applied = raw(Control.appliedOffset());
   answer.members = toWire(Members.members());
   answer.steps = Control.stepsToSend();
+  answer.deaths = Control.deathsForJoin();
   respond(frameBody(std::move(answer)));
 }
 
--- a/src/daemon/membership_service.cpp
+++ b/src/daemon/membership_service.cpp
@@ -48,6 +48,7 @@
   ping.state_digest = Payload.stateDigest();
   ping.updates = toWire(updates);
   ping.steps = Payload.stepsToSend();
+  ping.deaths = Payload.deathsToSend();
   return ping;
 }
 
@@ -71,6 +72,7 @@
   mergeUpdates(fromWire(ack.updates));
   Payload.heardProgress(target, LogOffset{ack.applied}, ack.state_digest,
                         ack.steps);
+  Payload.heardDeaths(ack.deaths);
 }
 
 void MembershipService::probeIndirectly(const Address &target) {
@@ -116,6 +118,7 @@
   mergeUpdates(fromWire(ping.updates));
   Payload.heardProgress(from->Peer, LogOffset{ping.applied}, ping.state_digest,
                         ping.steps);
+  Payload.heardDeaths(ping.deaths);
   if (!respond) {
     return;
   }
@@ -129,6 +132,7 @@
   ack.state_digest = Payload.stateDigest();
   ack.updates = toWire(updates);
   ack.steps = Payload.stepsToSend();
+  ack.deaths = Payload.deathsToSend();
   respond(frameBody(std::move(ack)));
 }
 
--- a/src/daemon/move_service.cpp
+++ b/src/daemon/move_service.cpp
@@ -124,21 +124,22 @@
   }
   wire::StatsRequestT request;
   request.service = Own.Service;
-  Network.request(
-      member.Peer, frameBody(std::move(request)), sentAt + StatsTimeout,
-      [this, gate, version = member.ServiceVersion,
-       sentAt](const PeerOutcome &outcome) {
-        const auto *answer =
-            outcome.Answer ? outcome.Answer->AsStatsAnswer() : nullptr;
-        if (answer == nullptr || Driven == Version::None) {
-          return;
-        }
-        GateStats stats{version, {}, sentAt, true};
-        for (const auto &it : answer->stats) {
-          stats.Counts.push_back(fromWire(*it));
-        }
-        Stats[gate] = std::move(stats);
-      });
+  Network.request(member.Peer, frameBody(std::move(request)),
+                  sentAt + StatsTimeout,
+                  [this, gate, version = member.ServiceVersion,
+                   sentAt](const PeerOutcome &outcome) {
+                    const auto *answer = outcome.Answer
+                                             ? outcome.Answer->AsStatsAnswer()
+                                             : nullptr;
+                    if (answer == nullptr || Driven == Version::None) {
+                      return;
+                    }
+                    GateStats stats{version, {}, sentAt, true};
+                    for (const auto &it : answer->stats) {
+                      stats.Counts.push_back(fromWire(*it));
+                    }
+                    Stats[gate] = std::move(stats);
+                  });
 }
 
 void MoveService::onStatsRequest(const wire::StatsRequestT &request,
@@ -184,7 +185,7 @@
 }
 
 bool MoveService::isTakenBack(const MoveState &move) const {
-  const auto steps = Parts.Steps.steps(Loop.now());
+  const auto steps = Parts.Steps.steps();
   return std::any_of(steps.begin(), steps.end(), [&move](const SafeStep &s) {
     return s.Kind == SafeStepKind::TakeBack && s.Subject == move.Service &&
            s.Move == move.Move;
--- a/src/daemon/wire_convert.cpp
+++ b/src/daemon/wire_convert.cpp
@@ -1,5 +1,8 @@
 #include "chivefold/daemon/wire_convert.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace chivefold {
 
 std::unique_ptr<wire::PeerAddressT> addressToWire(const Address &address) {
@@ -83,14 +86,12 @@
   to->subject = step.Subject;
   to->move = raw(step.Move);
   to->after_offset = raw(step.AfterOffset);
-  to->request_digest = step.RequestDigest;
-  to->count = step.Count;
   to->reason = step.Reason;
   return to;
 }
 
 std::optional<SafeStep> stepFromWire(const wire::SafeStepT &step) {
-  if (step.kind > static_cast<std::uint8_t>(SafeStepKind::Quarantine)) {
+  if (step.kind > static_cast<std::uint8_t>(SafeStepKind::TakeOut)) {
     return std::nullopt;
   }
   SafeStep s;
@@ -98,10 +99,29 @@
   s.Subject = step.subject;
   s.Move = Version{step.move};
   s.AfterOffset = LogOffset{step.after_offset};
-  s.RequestDigest = step.request_digest;
-  s.Count = step.count;
   s.Reason = step.reason;
   return s;
 }
 
+std::unique_ptr<wire::PoisonDeathT> poisonToWire(const PoisonStep &step) {
+  auto to = std::make_unique<wire::PoisonDeathT>();
+  to->digest = static_cast<std::uint64_t>(step.Digest);
+  to->server = addressToWire(step.Server);
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(step.Age).count();
+  to->age_ms = static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      ms, 0, std::numeric_limits<std::uint32_t>::max()));
+  to->cleared = step.Cleared;
+  return to;
+}
+
+std::optional<PoisonStep> poisonFromWire(const wire::PoisonDeathT &death) {
+  const auto server = fromWire(death.server.get());
+  if (!server) {
+    return std::nullopt;
+  }
+  return PoisonStep{static_cast<RequestDigest>(death.digest), *server,
+                    std::chrono::milliseconds(death.age_ms), death.cleared};
+}
+
 } // namespace chivefold
--- a/tests/unit/poison_table_test.cpp
+++ b/tests/unit/poison_table_test.cpp
@@ -53,6 +53,53 @@
   CHECK_FALSE(table.merge({Innocent, Second, 10min}, T0));
 }
 
+// Guards against a death that counts again after the request was answered: by a
+// copy that is still under way, or at a daemon that did not see the answer.
+TEST_CASE("an answer clears a death at every daemon", "[poison]") {
+  PoisonTable here;
+  PoisonTable there;
+  const auto death = here.serverDied(First, {Innocent}, T0 + 1s);
+  REQUIRE(there.merge(death.front(), T0 + 1s));
+  const auto clear = here.succeeded(Innocent, T0 + 2s);
+  REQUIRE(clear);
+  CHECK_FALSE(here.succeeded(Innocent, T0 + 2s));
+  CHECK(there.merge(*clear, T0 + 2s));
+  CHECK_FALSE(there.merge(*clear, T0 + 2s));
+  CHECK(there.size() == 0);
+  CHECK_FALSE(there.merge({Innocent, First, 2s, false}, T0 + 3s));
+  there.serverDied(Second, {Innocent}, T0 + 4s);
+  CHECK_FALSE(there.quarantined(Innocent, T0 + 4s));
+  // An answer from before a death does not clear it.
+  CHECK_FALSE(there.merge({Innocent, First, 3s, true}, T0 + 5s));
+  CHECK(there.size() == 1);
+}
+
+// Guards against quarantine of a frequent request, which is in flight at most
+// deaths, and against a request that is never suspected after one answer.
+TEST_CASE("a request that was just answered is innocent", "[poison]") {
+  PoisonTable table;
+  CHECK_FALSE(table.isInnocent(Innocent, T0 + 1s));
+  table.succeeded(Innocent, T0 + 1s);
+  CHECK(table.isInnocent(Innocent, T0 + 2s));
+  CHECK_FALSE(table.isInnocent(Poison, T0 + 2s));
+  CHECK_FALSE(table.isInnocent(Innocent, T0 + 1s + PoisonTable::InnocentTime));
+}
+
+// Guards against deaths that a joining daemon does not learn, an answer to it
+// that grows without bound, and ages that start anew on the way.
+TEST_CASE("known deaths keep their age", "[poison]") {
+  PoisonTable here;
+  here.serverDied(First, {Innocent, Poison}, T0);
+  here.serverDied(Second, {Poison}, T0 + 1min);
+  CHECK(here.steps(2, T0 + 2min).size() == 2);
+  CHECK(here.steps(9, T0 + 10min).size() == 1);
+  PoisonTable joining;
+  for (const auto &it : here.steps(9, T0 + 2min)) {
+    CHECK(joining.merge(it, T0 + 1h));
+  }
+  CHECK(joining.quarantined(Poison, T0 + 1h) == 9min);
+}
+
 // Guards against unbounded memory when many servers die.
 TEST_CASE("the oldest digest is evicted at the bound", "[poison]") {
   PoisonTable table;
