--- a/fuzz/promise_world.h
+++ b/fuzz/promise_world.h
@@ -443,7 +443,7 @@
     const bool ignored =
         (isWrong("ignore-take-out") && s.Kind == SafeStepKind::TakeOut) ||
         (isWrong("ignore-take-back") && s.Kind == SafeStepKind::TakeBack);
-    if (ignored || !node.Steps.merge(s, Now)) {
+    if (ignored || !node.Steps.merge(s)) {
       return;
     }
     node.Update.refresh();
@@ -497,7 +497,7 @@
   }
 
   void applied(Node &node) const {
-    node.Steps.prune(Now);
+    node.Steps.prune();
     node.Update.refresh();
     const auto *lease = node.State.lease("s");
     if (lease != nullptr && lease->LastOffset != node.SeenLease) {
@@ -566,7 +566,7 @@
     v.AbleServers = Daemons - 2;
     v.LogAvailable = node.LogAvailable;
     v.LogRead = node.LogRead;
-    for (const auto &it : node.Steps.steps(Now)) {
+    for (const auto &it : node.Steps.steps()) {
       v.TakenBack = v.TakenBack ||
                     (it.Kind == SafeStepKind::TakeBack && it.Move == m.Move);
     }
--- a/src/daemon/claim_service.cpp
+++ b/src/daemon/claim_service.cpp
@@ -37,7 +37,7 @@
 }
 
 /** Identifies the request that a key stands for. */
-std::uint64_t digestOf(const CallMessage &call) {
+std::uint64_t contentOf(const CallMessage &call) {
   return hash64(call.Body, hash64(call.Target, hash64(call.Method)));
 }
 
@@ -58,7 +58,7 @@
 void ClaimService::request(CallMessage call, CallReply reply) {
   const auto key = hashKey(call.Service, call.Key);
   const auto id = WaiterId{NextWaiter++};
-  const auto digest = digestOf(call);
+  const auto digest = contentOf(call);
   const auto deadline = call.Deadline;
   const bool toHolder = call.ToClaimHolder;
   auto &waiter = Waiters[id];
--- a/src/daemon/move_service.cpp
+++ b/src/daemon/move_service.cpp
@@ -185,7 +185,7 @@
 }
 
 bool MoveService::isTakenBack(const MoveState &move) const {
-  const auto steps = Parts.Steps.steps(Loop.now());
+  const auto steps = Parts.Steps.steps();
   return std::any_of(steps.begin(), steps.end(), [&move](const SafeStep &s) {
     return s.Kind == SafeStepKind::TakeBack && s.Subject == move.Service &&
            s.Move == move.Move;
