--- a/benchmark/dissemination.cpp
+++ b/benchmark/dissemination.cpp
@@ -5,6 +5,7 @@
 // each daemon as a snapshot.
 #include "chivefold/core/dissemination.h"
 
+#include "chivefold/daemon/wire_convert.h"
 #include "peer_generated.h"
 
 #include <algorithm>
@@ -56,23 +57,6 @@
   return s;
 }
 
-std::unique_ptr<wire::MemberT> toWire(const Member &m) {
-  auto w = std::make_unique<wire::MemberT>();
-  w->address = std::make_unique<wire::PeerAddressT>();
-  w->address->ip = m.Peer.Ip;
-  w->address->port = m.Peer.Port;
-  w->data_centre = m.DataCentre;
-  w->region = m.Region;
-  w->service = m.Service;
-  w->service_version = m.ServiceVersion;
-  w->state = static_cast<std::uint8_t>(m.State);
-  w->incarnation = m.Incarnation;
-  w->boot_id = m.BootId;
-  w->floor = raw(m.Floor);
-  w->caller_port = m.CallerPort;
-  return w;
-}
-
 template <class Body> std::size_t frameBytes(Body body) {
   wire::FrameT frame;
   frame.request_id = 1;
@@ -88,17 +72,13 @@
   ping.from = toWire(from);
   ping.applied = raw(from.Floor);
   ping.state_digest = ~0ULL;
-  for (const auto &it : updates) {
-    ping.updates.push_back(toWire(it));
-  }
+  ping.updates = toWire(updates);
   return frameBytes(std::move(ping));
 }
 
 std::size_t recordsBytes(const std::vector<LogEntry> &records) {
   wire::RecordsT w;
-  w.from = std::make_unique<wire::PeerAddressT>();
-  w.from->ip = "10.0.0.1";
-  w.from->port = 1;
+  w.from = addressToWire({"10.0.0.1", 1});
   for (const auto &it : records) {
     w.records.push_back(std::make_unique<wire::LogRecordT>());
     w.records.back()->offset = raw(it.Offset);
