Point make demo at the script

Cause: in a clean clone 'make demo' ended with 'No such file': the Makefile named a place in the build folder, and the demo had only been started by its path.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	./.ci/test
 
 demo: build
-	./build/tests/e2e/demo
+	./tests/e2e/demo
 
 bench: build
 	./benchmark/run
