Remove repeated work from the request path and dead state

CallerService copied each request with its body only to keep the name of its service for the metrics; CallRunner and ClaimService decoded a peer's answer with the same lines; the gate kept a flag that nothing read; the own floor was set by Dissemination on each record and again by two services. Ruled out: a change of behaviour; no bound, check or expectation was touched. Conclusion: callAnswer() decodes answers, the request is moved.

--- a/include/chivefold/daemon/call_message.h
+++ b/include/chivefold/daemon/call_message.h
@@ -9,6 +9,7 @@
 #include "chivefold/core/gate.h"
 #include "chivefold/core/types.h"
 #include "chivefold/io/http.h"
+#include "chivefold/io/peer_network.h"
 #include "peer_generated.h"
 
 #include <functional>
@@ -80,6 +81,10 @@
 /** @return the result, or nothing if a field is out of range. Thread-safe. */
 std::optional<CallResult> fromWire(wire::CallAnswerT &answer);
 
+/** @return the result that a peer answered, or nothing if there is no valid
+ * one. Thread-safe. */
+std::optional<CallResult> callAnswer(PeerOutcome &outcome);
+
 /** @return the headers without those of one connection or of this protocol.
  * Thread-safe. */
 HttpHeaders endToEndHeaders(const HttpHeaders &headers);
--- a/include/chivefold/daemon/caller_service.h
+++ b/include/chivefold/daemon/caller_service.h
@@ -38,6 +38,7 @@
   /** A valid request with its route, in the snapshot that it started with. */
   struct Accepted {
     std::shared_ptr<const Configuration> Config;
+    const Service *Target = nullptr;
     const Route *Matched = nullptr;
     CallMessage Call;
   };
--- a/include/chivefold/daemon/gate_service.h
+++ b/include/chivefold/daemon/gate_service.h
@@ -59,7 +59,6 @@
     CallReply Reply;
     HttpCallId Http = HttpCallId::None;
     TimePoint StartedAt{};
-    bool Running = false;
     RequestDigest Digest = RequestDigest::None;
   };
 
--- a/src/daemon/call_message.cpp
+++ b/src/daemon/call_message.cpp
@@ -144,6 +144,11 @@
   return result;
 }
 
+std::optional<CallResult> callAnswer(PeerOutcome &outcome) {
+  auto *answer = outcome.Answer ? outcome.Answer->AsCallAnswer() : nullptr;
+  return answer != nullptr ? fromWire(*answer) : std::nullopt;
+}
+
 HttpHeaders endToEndHeaders(const HttpHeaders &headers) {
   HttpHeaders kept;
   for (const auto &it : headers) {
--- a/src/daemon/call_runner.cpp
+++ b/src/daemon/call_runner.cpp
@@ -159,9 +159,7 @@
   call->Remote = Network.request(
       call->Server, frameBody(toWire(message, Loop.now())), deadline,
       [this, call, attempt](PeerOutcome outcome) {
-        auto *answer =
-            outcome.Answer ? outcome.Answer->AsCallAnswer() : nullptr;
-        auto result = answer != nullptr ? fromWire(*answer) : std::nullopt;
+        auto result = callAnswer(outcome);
         if (!result) {
           const auto code = outcome.Failure.Code == ErrorCode::Ok
                                 ? ErrorCode::InvalidRecord
--- a/src/daemon/caller_service.cpp
+++ b/src/daemon/caller_service.cpp
@@ -116,6 +116,7 @@
   if (service == nullptr) {
     return Reason{ErrorCode::NotFound, "no such service"};
   }
+  accepted.Target = service;
   accepted.Matched = findRoute(*service, request.Method, path);
   if (accepted.Matched == nullptr) {
     return Reason{ErrorCode::NotFound, "no such route"};
@@ -158,7 +159,7 @@
 
 void CallerService::run(const std::shared_ptr<HttpExchange> &exchange,
                         Accepted accepted) {
-  auto call = accepted.Call;
+  auto call = std::move(accepted.Call);
   const auto startedAt = Loop.now();
   auto reply = [this, exchange, startedAt,
                 accepted = std::move(accepted)](CallResult result) {
@@ -203,7 +204,7 @@
 void CallerService::record(const Accepted &accepted, const CallResult &result,
                            TimePoint startedAt) {
   CallSample sample;
-  sample.Service = accepted.Call.Service;
+  sample.Service = accepted.Target->Name;
   sample.Kind = accepted.Matched->Kind;
   sample.Result = result.Result;
   sample.Good = result.Result == Outcome::Answered && result.Status < 500;
--- a/src/daemon/claim_service.cpp
+++ b/src/daemon/claim_service.cpp
@@ -165,11 +165,7 @@
   const auto deadline = call.Deadline;
   Network.request(*holder, frameBody(toWire(call, Loop.now())), deadline,
                   [this, id](PeerOutcome outcome) {
-                    auto *answer = outcome.Answer
-                                       ? outcome.Answer->AsCallAnswer()
-                                       : nullptr;
-                    auto result =
-                        answer != nullptr ? fromWire(*answer) : std::nullopt;
+                    auto result = callAnswer(outcome);
                     reply(id, result ? std::move(*result)
                                      : unknownCall(outcome.Failure.Code));
                   });
--- a/src/daemon/control_service.cpp
+++ b/src/daemon/control_service.cpp
@@ -163,7 +163,6 @@
     return;
   }
   Parts.Steps.prune();
-  Parts.Members.setFloor(Parts.State.applied());
   Lines.debug("records applied", {{"count", count},
                                   {"applied", raw(Parts.State.applied())},
                                   {"version", raw(Parts.State.version())}});
--- a/src/daemon/gate_service.cpp
+++ b/src/daemon/gate_service.cpp
@@ -38,7 +38,7 @@
   const bool ours = call.Service == Own.Service;
   const auto digest = digestOf(call);
   Calls.emplace(id, OpenCall{std::move(call), std::move(reply),
-                             HttpCallId::None, now, false, digest});
+                             HttpCallId::None, now, digest});
   if (!ours) {
     reject(id, ErrorCode::NotFound, DefaultRetryAfter);
     return id;
@@ -81,7 +81,6 @@
     return;
   }
   auto &open = Calls.at(id);
-  open.Running = true;
   open.StartedAt = Loop.now();
   open.Http =
       Client.start(httpCall(open.Message), [this, id](HttpOutcome outcome) {
--- a/src/daemon/membership_service.cpp
+++ b/src/daemon/membership_service.cpp
@@ -32,7 +32,6 @@
 
 void MembershipService::tick() {
   const auto now = Loop.now();
-  Members.setFloor(Payload.appliedOffset());
   Members.tick(now);
   if (const auto target = Members.nextProbe(now)) {
     probe(*target);
