--- a/include/chivefold/core/error.h
+++ b/include/chivefold/core/error.h
@@ -31,6 +31,8 @@
   TooLarge,
   Conflict,
   Quarantined,
+  /** A backend server stated that it did not run a request. */
+  Declined,
 };
 
 /** @return the stable lower-case name of @p ec, used in logs and output.
--- a/include/chivefold/daemon/call_message.h
+++ b/include/chivefold/daemon/call_message.h
@@ -47,6 +47,14 @@
   bool Repeatable = false;
   /** Sent to the daemon that holds the claim of Key, which decides. */
   bool ToClaimHolder = false;
+  /** Start of the backend server that was chosen, or "". */
+  std::string Instance;
+  /** Name of the route, for figures. */
+  std::string Route;
+  /** Service of the host where the request began. */
+  std::string CallerService;
+  /** Identity that the client gave the request. */
+  std::string RequestId;
 
   /** @return Target without the query. */
   std::string_view path() const;
--- a/include/chivefold/io/http_client.h
+++ b/include/chivefold/io/http_client.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * HTTP client on libcurl's multi interface, driven by the reactor.
+ * HTTP/1.1 client driven by the reactor.
  */
 #ifndef CHIVEFOLD_IO_HTTP_CLIENT_H
 #define CHIVEFOLD_IO_HTTP_CLIENT_H
@@ -24,12 +24,16 @@
   std::string Body;
   /** The call fails with DeadlineExceeded at this time. */
   TimePoint Deadline;
-  /**
-   * Uses a new connection. libcurl sends a request again by itself when a
-   * reused connection turns out to be closed, which could run non-idempotent
-   * work twice, so such calls set this.
-   */
+  /** Uses a new connection in place of an idle one. */
   bool FreshConnection = false;
+  /** An idle connection is reused only if it was in use at or after this time,
+   * since servers close idle connections without notice. */
+  TimePoint ReuseUsedSince{};
+  /** Takes a response without a length, which ends with its connection. */
+  bool AcceptUnframed = false;
+  /** Responses that it refuses belong to another request: they are dropped and
+   * the next one is awaited. Empty accepts any. */
+  std::function<bool(const HttpResponse &)> Accepts;
   /** A response with a larger body fails with TooLarge. */
   std::size_t MaxResponseBytes = HttpLimits::MaxBodyBytes;
 };
@@ -46,11 +50,30 @@
 
 enum class HttpCallId : std::uint64_t { None = 0 };
 
-/** Runs HTTP calls concurrently. Used on the reactor's thread only. */
+/** Counts since the start. */
+struct HttpClientFigures {
+  std::uint64_t Connections = 0;
+  std::uint64_t Requests = 0;
+};
+
+/**
+ * Runs HTTP calls concurrently and keeps idle connections for reuse. A request
+ * is sent once: the client never repeats one by itself. Used on the reactor's
+ * thread only.
+ */
 class HttpClient {
 public:
   using Callback = std::function<void(HttpOutcome)>;
 
+  /** Time in which a connection must be established. */
+  static constexpr Duration ConnectTimeout = std::chrono::seconds(1);
+  /** An idle connection is closed after this time, or sooner if the server
+   * states a shorter Keep-Alive. */
+  static constexpr Duration MaxIdleTime = std::chrono::seconds(8);
+  /** Part of a stated Keep-Alive in which a connection is reused; the rest
+   * covers the way of a request to the server. */
+  static constexpr double KeepAlivePart = 0.8;
+
   /** @param maxConnections bound of open connections; calls beyond it queue
    * until their deadline. */
   HttpClient(Reactor &reactor, std::size_t maxConnections);
@@ -66,9 +89,14 @@
    * Connections over a lower bound are closed as calls end. */
   void setMaxConnections(std::size_t max);
 
-  /** Aborts a call without running its callback. */
+  /** Aborts a call, closing its connection, without running its callback. */
   void cancel(HttpCallId id);
 
+  /** Closes all idle connections, for example when the server was replaced. */
+  void closeIdle();
+
+  HttpClientFigures figures() const;
+
 private:
   struct Impl;
   std::unique_ptr<Impl> State;
--- a/include/chivefold/io/http_server.h
+++ b/include/chivefold/io/http_server.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * HTTP server on libmicrohttpd, driven by the reactor.
+ * HTTP/1.1 server driven by the reactor.
  */
 #ifndef CHIVEFOLD_IO_HTTP_SERVER_H
 #define CHIVEFOLD_IO_HTTP_SERVER_H
@@ -31,15 +31,29 @@
 
 using HttpHandler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
+/** What callers may send, and for how long they may be silent. */
+struct HttpServerLimits {
+  std::size_t MaxHeaderBytes = HttpLimits::MaxHeaderBytes;
+  std::size_t MaxBodyBytes = HttpLimits::MaxBodyBytes;
+  /** From the first byte of a request to the end of its headers. */
+  Duration HeaderTimeout = std::chrono::seconds(10);
+  /** Without a byte between two requests, or within a body. */
+  Duration IdleTimeout = std::chrono::seconds(60);
+};
+
 /**
- * Accepts requests without a thread per call: libmicrohttpd's epoll descriptor
- * is handled by the reactor, and a connection is suspended until its answer.
- * A body over HttpLimits::MaxBodyBytes is answered with 413, headers over the
- * limit with 431, without the handler being called. Used on the reactor's
- * thread only.
+ * Accepts requests without a thread per call. Requests that are sent behind
+ * another on one connection are handled concurrently and answered in order. A
+ * body over the limit is answered with 413, headers over the limit with 431,
+ * ambiguous framing with 400, without the handler being called. Used on the
+ * reactor's thread only.
  */
 class HttpServer {
 public:
+  /** Requests of one connection handled concurrently; further ones are read
+   * later. */
+  static constexpr std::size_t MaxPipelined = 32;
+
   /** @param listen address to bind; port 0 picks a free one. */
   HttpServer(Reactor &reactor, Address listen, HttpHandler handler);
   ~HttpServer();
@@ -53,6 +67,13 @@
    */
   Address bound() const;
 
+  /** Replaces the limits; a request that is being read keeps its own. */
+  void setLimits(const HttpServerLimits &limits);
+
+  /** Makes each answer from now on close its connection, so that callers move
+   * to another connection; new ones are still accepted. */
+  void closeAfterAnswers();
+
   /** Stops accepting connections; requests in progress go on. */
   void quiesce();
 
--- /dev/null
+++ b/include/chivefold/mesh/placement.h
@@ -0,0 +1,148 @@
+/**
+ * @file
+ * Choice of the backend server for a request.
+ */
+#ifndef CHIVEFOLD_MESH_PLACEMENT_H
+#define CHIVEFOLD_MESH_PLACEMENT_H
+
+#include "chivefold/core/gate.h"
+#include "chivefold/core/types.h"
+#include "chivefold/mesh/fleet_table.h"
+#include "chivefold/mesh/operator_state.h"
+#include "chivefold/mesh/version_policy.h"
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace chivefold {
+
+struct PlacementSettings {
+  /** Delay that is accepted to keep a kilobyte inside the data centre, for a
+   * request of the lowest worth. */
+  Duration DelayPerRemoteKilobyte = std::chrono::milliseconds(60);
+  /** Delay that is accepted to avoid a hop to another host. */
+  Duration HopDelay = std::chrono::milliseconds(3);
+  /** Weight of the newest call in what is known of a server. */
+  double SpeedWeight = 0.15;
+  double ErrorWeight = 0.1;
+  /** Delay that a server which always fails is charged with. */
+  Duration ErrorDelay = std::chrono::seconds(3);
+  /** Time in which an old figure loses half of its weight. */
+  Duration HalfLife = std::chrono::seconds(4);
+  Duration MaxBackOff = std::chrono::seconds(1);
+};
+
+/** A request to be placed. */
+struct PlacementRequest {
+  std::string Service;
+  /** Names the route, for sizes and times. */
+  std::string Route;
+  std::uint32_t Priority = 0;
+  /** Hosts that this request must not use again. */
+  const std::vector<Address> *Tried = nullptr;
+};
+
+/** The chosen host, or why there is none. */
+struct PlacementChoice {
+  std::optional<Address> Peer;
+  std::string Instance;
+  std::string Version;
+  /** Expected time until the answer. */
+  Duration Expected{};
+  /** Without a choice: when one may be possible. */
+  Duration RetryAfter{};
+  /** Servers that could be used, for log lines. */
+  std::size_t Candidates = 0;
+};
+
+/**
+ * Chooses the server with the lowest expected time to the answer, plus the
+ * price of crossing data centres in terms of delay. The expected time comes
+ * from the server's speed as measured, its queue as its gate last told and the
+ * calls of this daemon since. Answers slow and failing servers, one-sided load
+ * and servers that just returned. Costs O(servers of the service) a choice.
+ * Not thread-safe.
+ */
+class Placement {
+public:
+  /** Routes whose sizes and times are kept. */
+  static constexpr std::size_t MaxRoutes = 4096;
+  static constexpr std::uint32_t LowestWorth = 1;
+
+  /** The references outlive this object. */
+  Placement(const FleetTable &fleet, const OperatorState &orders,
+            VersionPolicy &versions, Address self, std::string dataCentre,
+            std::uint64_t seed, const PlacementSettings &settings = {});
+
+  /** Rebuilds the lists of servers by service after a change of the fleet. */
+  void refresh();
+
+  PlacementChoice choose(const PlacementRequest &request, TimePoint now);
+
+  /** A request was sent. Followed by exactly one of the four below. */
+  void started(const Address &peer);
+  /** @param bytes of the request and its answer. */
+  void answered(const Address &peer, const std::string &route, Duration latency,
+                std::size_t bytes, bool serverError, const GateState &gate,
+                TimePoint now);
+  void refused(const Address &peer, const GateState &gate, Duration retryAfter,
+               TimePoint now);
+  void lost(const Address &peer, TimePoint now);
+  void cancelled(const Address &peer);
+
+  /** @return expected time of service of a route on a usual server. */
+  Duration expected(const std::string &route) const;
+
+  /** @return ready servers of @p service that may get requests. */
+  unsigned ableServers(const std::string &service,
+                       const std::string &version) const;
+
+private:
+  struct Load {
+    std::uint32_t Mine = 0;
+    /** Load at the gate that others caused, as of GateAt. */
+    double Others = 0;
+    std::uint32_t Limit = 0;
+    TimePoint GateAt{};
+    /** Time of service relative to what is usual for the route. */
+    double Slowness = 1;
+    TimePoint SlownessAt{};
+    /** Smoothed share of failed calls. */
+    double Errors = 0;
+    TimePoint ErrorsAt{};
+    TimePoint NotBefore{};
+  };
+  struct RouteFigures {
+    double TimeUs = 0;
+    double Bytes = 0;
+  };
+
+  bool usable(const HostState &host, const PlacementRequest &request,
+              TimePoint now) const;
+  double decay(TimePoint since, TimePoint now) const;
+  double score(const HostState &host, const PlacementRequest &request,
+               TimePoint now, double &expectedUs) const;
+  void learnGate(Load &load, const GateState &gate, TimePoint now);
+  std::string drawVersion(const PlacementRequest &request);
+
+  const FleetTable &Fleet;
+  const OperatorState &Orders;
+  VersionPolicy &Versions;
+  Address Self;
+  std::string DataCentre;
+  std::mt19937_64 Random;
+  PlacementSettings Settings;
+  /** Hosts by service, with servers in any phase. */
+  std::unordered_map<std::string, std::vector<Address>> ByService;
+  std::unordered_map<Address, Load> Loads;
+  std::unordered_map<std::string, RouteFigures> Routes;
+  std::unordered_map<std::string, std::uint32_t> SplitTurns;
+};
+
+} // namespace chivefold
+
+#endif
--- /dev/null
+++ b/include/chivefold/mesh/rollout_driver.h
@@ -0,0 +1,98 @@
+/**
+ * @file
+ * Decides the steps of one rollout.
+ */
+#ifndef CHIVEFOLD_MESH_ROLLOUT_DRIVER_H
+#define CHIVEFOLD_MESH_ROLLOUT_DRIVER_H
+
+#include "chivefold/core/sequential_test.h"
+#include "chivefold/core/types.h"
+#include "chivefold/mesh/version_policy.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chivefold {
+
+/** A share that may be given from a part of the allowed time on. */
+struct RolloutStep {
+  std::uint32_t ShareBasisPoints;
+  /** Part of the allowed time. */
+  double From;
+};
+
+struct RolloutSettings {
+  /** Rising; the exposure to a version that turns bad at a step is its share
+   * times the time to the verdict. */
+  std::vector<RolloutStep> Steps = {
+      {500, 0.0}, {1000, 0.2}, {2500, 0.38}, {5000, 0.52}, {10000, 0.64}};
+  /** Part of the allowed time from which the rollout may be completed. */
+  double CompleteFrom = 0.82;
+  /** Time at the full share before completion, in which every daemon learns of
+   * it and requests at the old version end. */
+  Duration FullShareTime = std::chrono::milliseconds(1500);
+  /** Evidence against the version (1 is bad) above which no step is taken. */
+  double MaxSuspicion = 0.5;
+  /** Calls of the new version at a share before the next one. */
+  double MinStepCalls = 12;
+  SequentialTestSettings Test;
+};
+
+/** @return the settings with bounds that fit rollouts of some seconds: servers
+ * of one service differ in speed, and new ones start cold. */
+RolloutSettings quickRolloutSettings();
+
+/** The rollout as the driver sees it. */
+struct RolloutView {
+  /** When the order was given, as far as known. */
+  TimePoint OrderedAt{};
+  Duration TimeAllowed{};
+  std::uint32_t ShareBasisPoints = 0;
+  /** Servers of the target version that take work. */
+  unsigned AbleServers = 0;
+  /** Requests in progress at servers of other versions. */
+  unsigned OldInFlight = 0;
+  std::vector<KindCounts> OldCounts;
+  std::vector<KindCounts> NewCounts;
+};
+
+enum class RolloutAction : std::uint8_t { None, SetShare, Complete, RollBack };
+
+/** @return "none", "set-share", "complete" or "roll-back". Thread-safe. */
+std::string_view rolloutActionName(RolloutAction action);
+
+struct RolloutDecision {
+  RolloutAction Action = RolloutAction::None;
+  std::uint32_t ShareBasisPoints = 0;
+  /** What the decision rests on. */
+  std::string Evidence;
+};
+
+/**
+ * Raises the share on a timetable while the evidence allows it, and takes the
+ * version back as soon as the sequential test calls it bad. Answers versions
+ * that fail or slow down at once, late, under load or on one route. One object
+ * for each order. Not thread-safe.
+ */
+class RolloutDriver {
+public:
+  explicit RolloutDriver(RolloutSettings settings);
+
+  /** Call a few times a second. The decision is repeated until the view shows
+   * its effect. */
+  RolloutDecision tick(TimePoint now, const RolloutView &view);
+
+private:
+  double elapsedPart(TimePoint now, const RolloutView &view) const;
+  bool mayComplete(TimePoint now, const RolloutView &view) const;
+
+  RolloutSettings Settings;
+  SequentialTest Test;
+  std::uint32_t SeenShare = 0;
+  TimePoint ShareSince{};
+};
+
+} // namespace chivefold
+
+#endif
--- /dev/null
+++ b/include/chivefold/mesh/slot_gate.h
@@ -0,0 +1,146 @@
+/**
+ * @file
+ * Admission beside a backend server that states its slots.
+ */
+#ifndef CHIVEFOLD_MESH_SLOT_GATE_H
+#define CHIVEFOLD_MESH_SLOT_GATE_H
+
+#include "chivefold/core/gate.h"
+#include "chivefold/core/types.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace chivefold {
+
+/** A request at the gate. */
+struct SlotWork {
+  GateRequestId Id = GateRequestId::None;
+  /** 0 is the most urgent. */
+  std::uint32_t Priority = 0;
+  TimePoint Deadline{};
+  /** Names the route, for the expected time of service. */
+  std::string Route;
+};
+
+/** Decision on a newcomer; one that is refused was certainly not run. */
+struct SlotOffer {
+  Admitted Kind = Admitted::Run;
+  ErrorCode Code = ErrorCode::Ok;
+  /** For Rejected: when the caller may try this server again. */
+  Duration RetryAfter{};
+};
+
+struct SlotGateTuning {
+  /** Part of a cold server's stated rate that is used; the rest covers requests
+   * whose arrival is counted in the next second. */
+  double ColdPart = 0.9;
+  /** Requests that wait for one slot at most, at the mean time of service. */
+  double QueuePerSlot = 4;
+  /** Weight of the newest call in the expected time of service. */
+  double TimeWeight = 0.1;
+  /** Expected time of service before the first call of a route. */
+  Duration FirstExpected = std::chrono::milliseconds(50);
+  Duration MinRetryAfter = std::chrono::milliseconds(50);
+  Duration MaxRetryAfter = std::chrono::seconds(2);
+};
+
+/**
+ * Keeps a server's concurrency at its slots and a cold server's rate at what
+ * it bears. What waits is served in order of priority, then of arrival. A
+ * request that cannot end before its deadline is refused at once, on arrival
+ * and when it becomes clear later. Answers the load pattern of a burst at a
+ * server that never answers what it cannot queue. Not thread-safe.
+ */
+class SlotGate {
+public:
+  /** Routes whose time of service is kept; further ones share one value. */
+  static constexpr std::size_t MaxRoutes = 4096;
+
+  explicit SlotGate(const SlotGateTuning &tuning = {});
+
+  /** Admits work for a server with @p slots. @p connections bounds the
+   * concurrency too; 0 means no bound. */
+  void open(std::uint32_t slots, std::uint32_t connections);
+
+  /** Refuses new work. @return what waited, certainly not run; work that runs
+   * goes on. */
+  std::vector<GateRequestId> close();
+
+  bool isOpen() const { return Open; }
+
+  /** The server bears only @p rate requests a second until @p until. */
+  void setCold(double rate, TimePoint until);
+
+  SlotOffer offer(const SlotWork &work, TimePoint now);
+
+  /** @return the waiting requests that are to run now; they count as running.
+   */
+  std::vector<GateRequestId> start(TimePoint now);
+
+  /** @return the waiting requests that can no longer end in time. */
+  std::vector<GateRequestId> expire(TimePoint now);
+
+  /** A running request ended. @param latency empty if it says nothing of the
+   * time of service (cancelled, refused by the server). */
+  void finished(GateRequestId id, std::optional<Duration> latency);
+
+  /** Drops a waiting request. @return whether it was waiting. */
+  bool cancel(GateRequestId id);
+
+  /** @return when start() or expire() may give something without any other
+   * event. */
+  std::optional<TimePoint> nextChange(TimePoint now) const;
+
+  GateState state(TimePoint now) const;
+
+  /** @return expected time of service of a route. */
+  Duration expected(const std::string &route) const;
+
+private:
+  struct Key {
+    std::uint32_t Priority;
+    std::uint64_t Sequence;
+    bool operator<(const Key &o) const {
+      return Priority != o.Priority ? Priority < o.Priority
+                                    : Sequence < o.Sequence;
+    }
+  };
+  struct Waiting {
+    GateRequestId Id;
+    TimePoint Deadline;
+    std::string Route;
+  };
+
+  bool mayStart(TimePoint now) const;
+  bool isCold(TimePoint now) const { return now < ColdUntil; }
+  std::size_t coldAllowance() const;
+  void forgetOldStarts(TimePoint now);
+  void begin(GateRequestId id, const std::string &route, TimePoint now);
+  Duration expectedWait(std::size_t ahead, TimePoint now) const;
+  SlotOffer refuse(ErrorCode code, Duration wait) const;
+
+  SlotGateTuning Tuning;
+  bool Open = false;
+  std::uint32_t Limit = 0;
+  double ColdRate = 0;
+  TimePoint ColdUntil{};
+  std::uint64_t NextSequence = 0;
+  std::map<Key, Waiting> Queue;
+  std::unordered_map<GateRequestId, Key> QueuedIds;
+  /** Route of each running request; bounded by Limit. */
+  std::unordered_map<GateRequestId, std::string> Running;
+  /** Starts of the last second, for the rate of a cold server. */
+  std::deque<TimePoint> Starts;
+  std::unordered_map<std::string, double> RouteTimes;
+  double MeanTime = 0;
+};
+
+} // namespace chivefold
+
+#endif
--- /dev/null
+++ b/include/chivefold/sidecar/backend_service.h
@@ -0,0 +1,138 @@
+/**
+ * @file
+ * The backend server beside this daemon: its reports and the work it gets.
+ */
+#ifndef CHIVEFOLD_SIDECAR_BACKEND_SERVICE_H
+#define CHIVEFOLD_SIDECAR_BACKEND_SERVICE_H
+
+#include "chivefold/core/sequential_test.h"
+#include "chivefold/daemon/call_message.h"
+#include "chivefold/io/http_client.h"
+#include "chivefold/io/logging.h"
+#include "chivefold/mesh/slot_gate.h"
+#include "chivefold/sidecar/ports.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace chivefold {
+
+/** Identifies a call at the backend service; 0 is never used. */
+using BackendCallId = GateRequestId;
+
+/**
+ * Passes calls to the backend server of this host, and only to the start of it
+ * that last reported itself. The gate bounds what the server gets. Used on the
+ * reactor's thread only.
+ */
+class BackendService {
+public:
+  /** Starts of servers that ended, whose late reports are ignored. */
+  static constexpr std::size_t MaxEnded = 64;
+  /** Calls in a row without an answer after which the server is taken as gone
+   * until it reports again. */
+  static constexpr std::uint32_t MaxSilentCalls = 3;
+  /** An idle connection used before this time is not reused for a request that
+   * may run at most once: the server may have closed it already. */
+  static constexpr Duration FreshFor = std::chrono::seconds(2);
+
+  /** @param changed runs when the state of the server changed. The references
+   * outlive this object. */
+  BackendService(Reactor &reactor, HttpClient &client,
+                 const PlatformPorts &ports, const OperatorState &orders,
+                 const VersionPolicy &versions, Address server,
+                 std::string dataCentre, std::function<void()> changed);
+
+  /** Takes a report. @return InvalidRecord if it is of another host's server,
+   * Conflict if a newer start or report is known. */
+  Status report(const ServerReport &report);
+
+  /** The server leaves. @return NotFound if it is not the present one. */
+  Status leave(const std::string &instance);
+
+  /** The daemon stops: no new work, running calls end. */
+  void startLeaving();
+
+  /** The operator's orders changed. */
+  void ordersChanged();
+
+  /** Runs a call; @p reply runs once unless the call is cancelled, and may run
+   * before this returns. */
+  BackendCallId run(CallMessage call, CallReply reply);
+  bool isOpen(BackendCallId id) const { return Calls.count(id) > 0; }
+  /** Ends a call: one that waits is dropped, one that runs is aborted. */
+  void cancel(BackendCallId id);
+
+  const BackendServerState &server() const { return Server; }
+  GateState gate() const { return Gate.state(Loop.now()); }
+  std::size_t openCalls() const { return Calls.size(); }
+
+  /** @return counts of the present server's version by route. */
+  std::vector<KindCounts> counts() const;
+  /** @return the version that counts() is about. */
+  const std::string &countedVersion() const { return CountedVersion; }
+
+private:
+  struct Call {
+    CallMessage Message;
+    CallReply Reply;
+    HttpCallId Http = HttpCallId::None;
+    TimePoint StartedAt{};
+    bool WasCold = false;
+  };
+
+  ErrorCode reasonToRefuse(const CallMessage &call) const;
+  void refuse(const CallReply &reply, ErrorCode code, Duration retryAfter);
+  void send(BackendCallId id);
+  void onOutcome(BackendCallId id, HttpOutcome outcome);
+  CallResult resultOf(const Call &call, HttpOutcome &outcome);
+  void finish(BackendCallId id, CallResult result,
+              std::optional<Duration> latency);
+  void drop(const std::vector<GateRequestId> &ids, ErrorCode code);
+  void runWaiting();
+  void armTimer();
+  void takeStart(const ServerReport &report);
+  void updateGate();
+  void noteSilence();
+  void count(const Call &call, const CallResult &result, Duration latency);
+  bool wasEnded(const ServerReport &report) const;
+  void endPresent();
+
+  Reactor &Loop;
+  HttpClient &Client;
+  const PlatformPorts &Ports;
+  const OperatorState &Orders;
+  const VersionPolicy &Versions;
+  Address Upstream;
+  std::string DataCentre;
+  std::function<void()> Changed;
+
+  struct Ended {
+    std::string Instance;
+    std::optional<std::int64_t> StartedAtMs;
+  };
+
+  BackendServerState Server;
+  std::optional<std::int64_t> StartedAtMs;
+  std::uint64_t Sequence = 0;
+  /** Connections fail; nothing is sent until the next report. */
+  bool Suspect = false;
+  bool Leaving = false;
+  std::uint32_t SilentCalls = 0;
+  std::deque<Ended> EndedStarts;
+  SlotGate Gate;
+  std::unordered_map<BackendCallId, Call> Calls;
+  std::uint64_t NextCall = 0;
+  TimerId Timer = TimerId::None;
+  TimePoint TimerAt{};
+  std::map<std::string, KindCounts> Counts;
+  std::string CountedVersion;
+  Logger Lines{"backend"};
+};
+
+} // namespace chivefold
+
+#endif
--- /dev/null
+++ b/include/chivefold/sidecar/fleet_service.h
@@ -0,0 +1,96 @@
+/**
+ * @file
+ * How daemons find each other and learn of each other's backend servers.
+ */
+#ifndef CHIVEFOLD_SIDECAR_FLEET_SERVICE_H
+#define CHIVEFOLD_SIDECAR_FLEET_SERVICE_H
+
+#include "chivefold/io/logging.h"
+#include "chivefold/io/peer_network.h"
+#include "chivefold/mesh/fleet_table.h"
+#include "chivefold/sidecar/ports.h"
+#include "peer_generated.h"
+
+#include <functional>
+#include <random>
+#include <unordered_set>
+
+namespace chivefold {
+
+/** What other services add to a greeting and read from one. */
+struct GreetingExtras {
+  std::uint64_t OperatorEnd = 0;
+  Duration StoreAge{};
+  std::uint64_t RolloutDigest = 0;
+};
+
+/**
+ * Registers this daemon in the store and greets the others. A daemon writes its
+ * address first and then reads those of all: of two daemons the one that writes
+ * later sees the other and greets it, so the pair knows each other without
+ * polling. Changes are sent to every known host at once; a slow probe of the
+ * host that was silent for longest finds what was missed, and hosts that do not
+ * answer are tried again, so a restarted daemon is found by its peers also
+ * while the store is down. Used on the reactor's thread only.
+ */
+class FleetService {
+public:
+  /** Pause between two rounds of probes. */
+  static constexpr Duration ProbeInterval = std::chrono::milliseconds(500);
+  static constexpr Duration GreetTimeout = std::chrono::milliseconds(800);
+  /** Hosts greeted in one round of probes. */
+  static constexpr std::size_t MaxProbes = 64;
+  static constexpr Duration StoreTimeout = std::chrono::milliseconds(1000);
+  static constexpr Duration MinStorePause = std::chrono::milliseconds(100);
+  static constexpr Duration MaxStorePause = std::chrono::milliseconds(800);
+
+  using Extras = std::function<GreetingExtras()>;
+  /** @p from greeted or answered. */
+  using Heard = std::function<void(const Address &from, const GreetingExtras &)>;
+
+  /** @param self returns the present state of this host. @param changed runs
+   * when the table changed. The references outlive this object. */
+  FleetService(Reactor &reactor, PeerNetwork &network, KeyedStore &store,
+               FleetTable &table, std::function<HostState()> self,
+               Extras extras, Heard heard, std::function<void()> changed,
+               std::uint64_t seed);
+
+  /** Registers and starts probing. Precondition: called once. */
+  void start();
+
+  /** Tells all hosts that the state of this one changed. */
+  void announce();
+
+  void onHello(wire::HelloT &hello, const PeerResponder &respond);
+
+  /** @return whether the addresses of the fleet were read from the store. */
+  bool isRegistered() const { return Registered; }
+
+private:
+  void registerSelf();
+  void listHosts(const std::string &afterKey);
+  void retryStore(const Reason &reason);
+  void probe();
+  void greet(const Address &peer);
+  wire::HelloT hello(bool withAddresses) const;
+  bool take(wire::HelloT &hello);
+
+  Reactor &Loop;
+  PeerNetwork &Network;
+  KeyedStore &Store;
+  FleetTable &Table;
+  std::function<HostState()> Self;
+  Extras OwnExtras;
+  Heard OnHeard;
+  std::function<void()> Changed;
+  std::mt19937_64 Random;
+  std::unordered_set<Address> Greeting;
+  bool Written = false;
+  bool Registered = false;
+  std::uint32_t StoreFailures = 0;
+  Logger Lines{"fleet"};
+};
+
+} // namespace chivefold
+
+#endif
--- /dev/null
+++ b/include/chivefold/sidecar/proxy_service.h
@@ -0,0 +1,94 @@
+/**
+ * @file
+ * Requests of the clients on this host.
+ */
+#ifndef CHIVEFOLD_SIDECAR_PROXY_SERVICE_H
+#define CHIVEFOLD_SIDECAR_PROXY_SERVICE_H
+
+#include "chivefold/core/call_policy.h"
+#include "chivefold/core/metrics.h"
+#include "chivefold/io/http_server.h"
+#include "chivefold/io/logging.h"
+#include "chivefold/io/peer_network.h"
+#include "chivefold/mesh/attempt_policy.h"
+#include "chivefold/mesh/placement.h"
+#include "chivefold/sidecar/backend_service.h"
+#include "chivefold/sidecar/ports.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace chivefold {
+
+/** What the proxy works with; all outlive it. */
+struct ProxyParts {
+  const PlatformPorts &Ports;
+  const OperatorState &Orders;
+  Placement &Servers;
+  BackendService &Backend;
+  Metrics &Figures;
+};
+
+/**
+ * Finds the route of each request, chooses a server and repeats attempts as the
+ * policy allows, within the client's deadline and the route's timeout. Used on
+ * the reactor's thread only.
+ */
+class ProxyService {
+public:
+  ProxyService(Reactor &reactor, PeerNetwork &network, const ProxyParts &parts,
+               Address self, std::string callerService);
+  ~ProxyService();
+  ProxyService(const ProxyService &) = delete;
+  ProxyService &operator=(const ProxyService &) = delete;
+
+  /** Serves one request. */
+  void handle(const std::shared_ptr<HttpExchange> &exchange);
+
+  /** Changes the service that requests of this host are said to come from. */
+  void setCallerService(std::string service);
+
+  std::size_t openRequests() const { return Open.size(); }
+
+private:
+  struct Request;
+  using RequestPtr = std::shared_ptr<Request>;
+
+  void answerUnrouted(const std::shared_ptr<HttpExchange> &exchange,
+                      const ClientRequest &client);
+  std::string chooseService(const MeshRoute &route);
+  void attempt(const RequestPtr &request);
+  void sendTo(const RequestPtr &request, const PlacementChoice &choice);
+  void onResult(const RequestPtr &request, CallResult result);
+  static AttemptEnd endOf(const CallResult &result);
+  void learn(Request &request, const CallResult &result, AttemptEnd end);
+  void decide(const RequestPtr &request, CallResult result, AttemptEnd end);
+  void deliver(const RequestPtr &request, CallResult result);
+  void refuse(const RequestPtr &request, const CallResult &result);
+  void reportUnknown(const RequestPtr &request, const CallResult &result);
+  void finish(const RequestPtr &request, HttpResponse response,
+              Outcome outcome);
+  void onDeadline(const RequestPtr &request);
+  void abandon(const RequestPtr &request);
+  void stopAttempt(Request &request);
+  RetryTokens &tokens(const std::string &service);
+  HttpResponse refusal(int status, Duration retryAfter) const;
+
+  Reactor &Loop;
+  PeerNetwork &Network;
+  ProxyParts Parts;
+  Address Self;
+  std::string CallerService;
+  std::unordered_map<Request *, RequestPtr> Open;
+  /** Bounded by the services of the configuration. */
+  std::map<std::string, RetryTokens, std::less<>> Tokens;
+  /** Running weights of a route's services, by route and service. */
+  std::map<std::string, std::map<std::string, std::int64_t>> Weights;
+  Logger Lines{"proxy"};
+};
+
+} // namespace chivefold
+
+#endif
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -5,7 +5,7 @@
 namespace chivefold {
 namespace {
 
-constexpr EnumNames<ErrorCode, 16> ErrorNames{{{
+constexpr EnumNames<ErrorCode, 17> ErrorNames{{{
     {ErrorCode::Ok, "ok"},
     {ErrorCode::InvalidArgument, "invalid-argument"},
     {ErrorCode::InvalidText, "invalid-text"},
@@ -22,6 +22,7 @@
     {ErrorCode::TooLarge, "too-large"},
     {ErrorCode::Conflict, "conflict"},
     {ErrorCode::Quarantined, "quarantined"},
+    {ErrorCode::Declined, "declined"},
 }}};
 
 } // namespace
--- a/src/daemon/call_message.cpp
+++ b/src/daemon/call_message.cpp
@@ -88,6 +88,10 @@
   to.worth = call.Worth;
   to.repeatable = call.Repeatable;
   to.to_claim_holder = call.ToClaimHolder;
+  to.instance = call.Instance;
+  to.route = call.Route;
+  to.caller_service = call.CallerService;
+  to.request_id = call.RequestId;
   return to;
 }
 
@@ -105,6 +109,10 @@
   call.Worth = request.worth;
   call.Repeatable = request.repeatable;
   call.ToClaimHolder = request.to_claim_holder;
+  call.Instance = std::move(request.instance);
+  call.Route = std::move(request.route);
+  call.CallerService = std::move(request.caller_service);
+  call.RequestId = std::move(request.request_id);
   return call;
 }
 
--- a/src/io/http.cpp
+++ b/src/io/http.cpp
@@ -1,11 +1,31 @@
 #include "chivefold/io/http.h"
 
-#include <curl/curl.h>
-#include <memory>
+#include <charconv>
 #include <strings.h>
 
 namespace chivefold {
 
+namespace {
+
+// Decodes %XX; a sign that is not followed by two digits stands for itself.
+std::string unescape(std::string_view text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    unsigned code = 0;
+    const auto *first = text.data() + i + 1;
+    if (text[i] == '%' && i + 2 < text.size() &&
+        std::from_chars(first, first + 2, code, 16).ptr == first + 2) {
+      out += static_cast<char>(code);
+      i += 2;
+    } else {
+      out += text[i];
+    }
+  }
+  return out;
+}
+
+} // namespace
+
 std::string_view headerValue(const HttpHeaders &headers,
                              std::string_view name) {
   for (const auto &it : headers) {
@@ -23,13 +43,7 @@
     const auto field = query.substr(0, end);
     const auto eq = field.find('=');
     if (eq != std::string_view::npos && field.substr(0, eq) == name) {
-      const auto raw = field.substr(eq + 1);
-      int n = 0;
-      const std::unique_ptr<char, decltype(&curl_free)> buf(
-          curl_easy_unescape(nullptr, raw.data(), static_cast<int>(raw.size()),
-                             &n),
-          &curl_free);
-      return buf ? std::string(buf.get(), static_cast<std::size_t>(n)) : "";
+      return unescape(field.substr(eq + 1));
     }
     if (end == std::string_view::npos) {
       break;
--- /dev/null
+++ b/src/io/http_channel.h
@@ -0,0 +1,90 @@
+/**
+ * @file
+ * One connection of the HTTP client. Internal to io.
+ */
+#ifndef CHIVEFOLD_IO_HTTP_CHANNEL_H
+#define CHIVEFOLD_IO_HTTP_CHANNEL_H
+
+#include "chivefold/io/http_client.h"
+#include "descriptor_watch.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <string>
+
+namespace chivefold {
+
+class HttpChannel;
+
+/** What a channel reports, always from the loop. */
+class HttpChannelOwner {
+public:
+  virtual ~HttpChannelOwner() = default;
+  /** The exchange ended. The channel is idle and reusable, or closed. */
+  virtual void onFinished(HttpChannel &channel, HttpOutcome outcome) = 0;
+  /** The server closed an idle channel, or sent what nobody asked for. */
+  virtual void onIdleClosed(HttpChannel &channel) = 0;
+};
+
+/** One request at a time over one connection. */
+class HttpChannel : public std::enable_shared_from_this<HttpChannel> {
+public:
+  HttpChannel(Reactor &reactor, HttpChannelOwner &owner, Address server);
+  ~HttpChannel();
+  HttpChannel(const HttpChannel &) = delete;
+  HttpChannel &operator=(const HttpChannel &) = delete;
+
+  /** Starts connecting. @return false if it failed at once. */
+  bool connect();
+  /** Sends @p bytes, the whole request of @p call. Precondition: idle. */
+  void exchange(std::string bytes, const HttpCall &call);
+  void close();
+  bool isOpen() const { return Fd >= 0; }
+  /** @return whether a byte of the current request was handed over. */
+  bool sentAny() const { return Written > 0; }
+  const Address &server() const { return Server; }
+
+  /** Call that uses the channel, or None. */
+  HttpCallId User = HttpCallId::None;
+  TimePoint UsedAt{};
+  /** When an idle channel must no longer be used. */
+  TimePoint ReusableUntil{};
+
+private:
+  using Parser = boost::beast::http::response_parser<
+      boost::beast::http::string_body>;
+
+  void onReady(ACE_Reactor_Mask mask);
+  void write();
+  void receive();
+  void parse();
+  bool parseOne();
+  void resetParser();
+  void onEnd(bool reset);
+  void succeed();
+  void fail(ErrorCode code, std::string message);
+  HttpResponse takeResponse();
+  void updateWatch();
+
+  Reactor &Loop;
+  HttpChannelOwner &Owner;
+  Address Server;
+  int Fd = -1;
+  std::unique_ptr<DescriptorWatch> Watch;
+  bool Connecting = false;
+  bool Busy = false;
+  std::string Output;
+  std::size_t Written = 0;
+  std::string Input;
+  std::optional<Parser> Current;
+  bool Head = false;
+  bool AcceptUnframed = false;
+  std::size_t MaxResponseBytes = 0;
+  std::function<bool(const HttpResponse &)> Accepts;
+  TimerId ConnectTimer = TimerId::None;
+};
+
+} // namespace chivefold
+
+#endif
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -1,7 +1,6 @@
 #include "chivefold/io/http_client.h"
 
-#include "curl_transfer.h"
-#include "descriptor_watch.h"
+#include "http_channel.h"
 
 #include <algorithm>
 #include <deque>
@@ -11,243 +10,248 @@
 
 namespace {
 
-// Calls that wait for a connection. More are refused as not run.
-constexpr std::size_t MaxQueuedCalls = 4096;
+struct Target {
+  Address Server;
+  std::string Path;
+};
 
-void initCurl() {
-  static const CURLcode once = curl_global_init(CURL_GLOBAL_ALL);
-  (void)once;
+std::optional<Target> parseUrl(std::string_view url) {
+  constexpr std::string_view scheme = "http://";
+  if (url.substr(0, scheme.size()) != scheme) {
+    return std::nullopt;
+  }
+  url.remove_prefix(scheme.size());
+  const auto n = std::min(url.find('/'), url.size());
+  const auto server = parseAddress(url.substr(0, n));
+  if (!server) {
+    return std::nullopt;
+  }
+  return Target{*server, n < url.size() ? std::string(url.substr(n)) : "/"};
 }
 
-} // namespace
+bool isPlain(std::string_view text) {
+  return text.find_first_of(std::string_view("\r\n\0", 3)) ==
+         std::string_view::npos;
+}
 
-struct HttpClient::Impl {
-  Impl(Reactor &reactor, std::size_t maxConnections);
-  ~Impl();
-  Impl(const Impl &) = delete;
-  Impl &operator=(const Impl &) = delete;
+bool isWellFormed(const HttpCall &call, const Target &target) {
+  return isPlain(call.Method) && isPlain(target.Path) &&
+         std::all_of(call.Headers.begin(), call.Headers.end(), [](auto &it) {
+           return isPlain(it.Name) && isPlain(it.Value);
+         });
+}
+
+bool hasBody(const HttpCall &call) {
+  return !call.Body.empty() || call.Method == "POST" || call.Method == "PUT" ||
+         call.Method == "PATCH";
+}
 
-  // A call from start() to its callback. Transfer is set once it is active.
-  struct Pending {
+std::string encode(const HttpCall &call, const Target &target) {
+  std::string out = call.Method + " " + target.Path + " HTTP/1.1\r\n";
+  if (headerValue(call.Headers, "Host").empty()) {
+    out += "Host: " + toString(target.Server) + "\r\n";
+  }
+  for (const auto &it : call.Headers) {
+    out += it.Name + ": " + it.Value + "\r\n";
+  }
+  if (hasBody(call)) {
+    out += "Content-Length: " + std::to_string(call.Body.size()) + "\r\n";
+  }
+  return out + "\r\n" + call.Body;
+}
+
+} // namespace
+
+struct HttpClient::Impl : HttpChannelOwner {
+  struct Entry {
     HttpCall Call;
+    Target To;
     Callback Done;
+    std::shared_ptr<HttpChannel> Channel;
     TimerId Timer = TimerId::None;
-    std::unique_ptr<CurlTransfer> Transfer;
   };
 
-  HttpCallId start(HttpCall call, Callback done);
-  void cancel(std::uint64_t id);
-  void activate();
-  void setMaxConnections(std::size_t max);
+  Impl(Reactor &r, std::size_t max) : Loop(r), MaxConnections(max) {}
+  ~Impl() override {
+    for (const auto &it : Calls) {
+      Loop.cancel(it.second.Timer);
+    }
+    Loop.cancel(Sweep);
+    for (const auto &it : Channels) {
+      it->close();
+    }
+  }
+  Impl(const Impl &) = delete;
+  Impl &operator=(const Impl &) = delete;
+
+  void begin(std::uint64_t id);
+  bool assign(std::uint64_t id);
+  std::shared_ptr<HttpChannel> idleFor(const Entry &entry);
+  bool makeRoom();
+  void drop(HttpChannel &channel);
   void finish(std::uint64_t id, HttpOutcome outcome);
   void expire(std::uint64_t id);
-  void collect();
-  void onSocket(int fd, int what);
-  void act(int fd, int mask);
-
-  static int socketCallback(CURL *easy, curl_socket_t fd, int what, void *cls,
-                            void *watch);
-  static int timerCallback(CURLM *multi, long ms, void *cls);
+  void runWaiting();
+  void sweep();
+  void onFinished(HttpChannel &channel, HttpOutcome outcome) override;
+  void onIdleClosed(HttpChannel &channel) override { drop(channel); }
 
   Reactor &Loop;
   std::size_t MaxConnections;
-  CURLM *Multi;
-  TimerId CurlTimer = TimerId::None;
-  std::uint64_t NextId = 0;
-  std::size_t Active = 0;
-  std::unordered_map<std::uint64_t, Pending> Calls;
-  // Ids in order of arrival; those of calls that ended meanwhile are skipped.
-  std::deque<std::uint64_t> Queue;
-  std::unordered_map<int, std::unique_ptr<DescriptorWatch>> Watches;
-  // A watch may be given up while it runs, so it is freed afterwards.
-  std::vector<std::unique_ptr<DescriptorWatch>> Discarded;
+  HttpClientFigures Figures;
+  std::uint64_t NextCall = 0;
+  std::unordered_map<std::uint64_t, Entry> Calls;
+  std::deque<std::uint64_t> Waiting;
+  std::vector<std::shared_ptr<HttpChannel>> Channels;
+  TimerId Sweep = TimerId::None;
+  /** Inside start(), which must not run the callback. */
+  bool Starting = false;
 };
 
-HttpClient::Impl::Impl(Reactor &reactor, std::size_t maxConnections)
-    : Loop(reactor), MaxConnections(maxConnections) {
-  initCurl();
-  Multi = curl_multi_init();
-  setMaxConnections(maxConnections);
-  curl_multi_setopt(Multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
-  curl_multi_setopt(Multi, CURLMOPT_SOCKETFUNCTION, &Impl::socketCallback);
-  curl_multi_setopt(Multi, CURLMOPT_SOCKETDATA, this);
-  curl_multi_setopt(Multi, CURLMOPT_TIMERFUNCTION, &Impl::timerCallback);
-  curl_multi_setopt(Multi, CURLMOPT_TIMERDATA, this);
-}
-
-HttpClient::Impl::~Impl() {
-  for (auto &it : Calls) {
-    Loop.cancel(it.second.Timer);
-    if (it.second.Transfer) {
-      curl_multi_remove_handle(Multi, it.second.Transfer->handle());
+std::shared_ptr<HttpChannel> HttpClient::Impl::idleFor(const Entry &entry) {
+  const auto now = Loop.now();
+  std::shared_ptr<HttpChannel> best;
+  for (const auto &it : Channels) {
+    const bool fits = it->User == HttpCallId::None && it->isOpen() &&
+                      it->server() == entry.To.Server &&
+                      now < it->ReusableUntil &&
+                      it->UsedAt >= entry.Call.ReuseUsedSince;
+    if (fits && (!best || it->UsedAt > best->UsedAt)) {
+      best = it;
     }
   }
-  Calls.clear();
-  curl_multi_cleanup(Multi);
-  Loop.cancel(CurlTimer);
+  return best;
 }
 
-HttpCallId HttpClient::Impl::start(HttpCall call, Callback done) {
-  const auto id = ++NextId;
-  auto &pending = Calls[id];
-  pending.Call = std::move(call);
-  pending.Done = std::move(done);
-  auto reason = CurlTransfer::check(pending.Call);
-  if (reason.Code == ErrorCode::Ok && Calls.size() > MaxConnections &&
-      Calls.size() - Active > MaxQueuedCalls) {
-    reason = {ErrorCode::Overloaded, "too many calls wait"};
+// Closes the idle connection that was used least recently if all are open.
+bool HttpClient::Impl::makeRoom() {
+  if (Channels.size() < MaxConnections) {
+    return true;
   }
-  if (reason.Code != ErrorCode::Ok) {
-    pending.Timer = Loop.schedule(Loop.now(), [this, id, reason] {
-      finish(id, {reason, false});
-    });
-    return static_cast<HttpCallId>(id);
+  std::shared_ptr<HttpChannel> oldest;
+  for (const auto &it : Channels) {
+    if (it->User == HttpCallId::None &&
+        (!oldest || it->UsedAt < oldest->UsedAt)) {
+      oldest = it;
+    }
   }
-  pending.Timer =
-      Loop.schedule(pending.Call.Deadline, [this, id] { expire(id); });
-  Queue.push_back(id);
-  activate();
-  return static_cast<HttpCallId>(id);
+  if (!oldest) {
+    return false;
+  }
+  drop(*oldest);
+  return Channels.size() < MaxConnections;
 }
 
-void HttpClient::Impl::setMaxConnections(std::size_t max) {
-  MaxConnections = std::max<std::size_t>(max, 1);
-  const auto limit = static_cast<long>(MaxConnections);
-  curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, limit);
-  curl_multi_setopt(Multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, limit);
-  activate();
+void HttpClient::Impl::drop(HttpChannel &channel) {
+  const auto it =
+      std::find_if(Channels.begin(), Channels.end(),
+                   [&](const auto &c) { return c.get() == &channel; });
+  if (it != Channels.end()) {
+    (*it)->close();
+    // Freed in the next turn: the channel may be on the call stack.
+    Loop.schedule(Loop.now(), [kept = *it] {});
+    Channels.erase(it);
+  }
 }
 
-void HttpClient::Impl::activate() {
-  while (Active < MaxConnections && !Queue.empty()) {
-    const auto id = Queue.front();
-    Queue.pop_front();
-    const auto it = Calls.find(id);
-    if (it == Calls.end()) {
-      continue;
+// Gives the call a connection. @return false if it has to wait for one.
+bool HttpClient::Impl::assign(std::uint64_t id) {
+  auto &entry = Calls.at(id);
+  auto channel = entry.Call.FreshConnection ? nullptr : idleFor(entry);
+  if (!channel) {
+    if (!makeRoom()) {
+      return false;
+    }
+    channel = std::make_shared<HttpChannel>(Loop, *this, entry.To.Server);
+    ++Figures.Connections;
+    if (!channel->connect()) {
+      Loop.schedule(Loop.now(), [this, id] {
+        finish(id, {Reason{ErrorCode::ConnectionFailed, "cannot connect"},
+                    false});
+      });
+      return true;
     }
-    ++Active;
-    it->second.Transfer = std::make_unique<CurlTransfer>(id, it->second.Call);
-    curl_multi_add_handle(Multi, it->second.Transfer->handle());
+    Channels.push_back(channel);
   }
+  channel->User = static_cast<HttpCallId>(id);
+  entry.Channel = channel;
+  ++Figures.Requests;
+  auto bytes = encode(entry.Call, entry.To);
+  entry.Call.Body.clear();
+  channel->exchange(std::move(bytes), entry.Call);
+  return true;
 }
 
-void HttpClient::Impl::cancel(std::uint64_t id) {
-  const auto it = Calls.find(id);
-  if (it == Calls.end()) {
-    return;
-  }
-  Loop.cancel(it->second.Timer);
-  if (it->second.Transfer) {
-    // Closes the connection if the transfer is not complete.
-    curl_multi_remove_handle(Multi, it->second.Transfer->handle());
-    --Active;
+void HttpClient::Impl::begin(std::uint64_t id) {
+  if (Calls.count(id) > 0 && !assign(id)) {
+    Waiting.push_back(id);
   }
-  Calls.erase(it);
-  // Ids of ended calls stay in the queue only while calls before them wait.
-  while (!Queue.empty() && Calls.count(Queue.front()) == 0) {
-    Queue.pop_front();
+}
+
+void HttpClient::Impl::onFinished(HttpChannel &channel, HttpOutcome outcome) {
+  const auto id = static_cast<std::uint64_t>(channel.User);
+  channel.User = HttpCallId::None;
+  if (!channel.isOpen() || Channels.size() > MaxConnections) {
+    drop(channel);
   }
-  if (Queue.size() > 2 * MaxQueuedCalls) {
-    Queue.erase(std::remove_if(Queue.begin(), Queue.end(),
-                               [&](auto n) { return Calls.count(n) == 0; }),
-                Queue.end());
+  sweep();
+  if (!Starting) {
+    return finish(id, std::move(outcome));
   }
-  activate();
+  auto later = std::make_shared<HttpOutcome>(std::move(outcome));
+  Loop.schedule(Loop.now(),
+                [this, id, later] { finish(id, std::move(*later)); });
 }
 
 void HttpClient::Impl::finish(std::uint64_t id, HttpOutcome outcome) {
   const auto it = Calls.find(id);
   if (it != Calls.end()) {
     const auto done = std::move(it->second.Done);
-    cancel(id);
+    Loop.cancel(it->second.Timer);
+    Calls.erase(it);
+    runWaiting();
     done(std::move(outcome));
   }
 }
 
 void HttpClient::Impl::expire(std::uint64_t id) {
   const auto it = Calls.find(id);
-  if (it != Calls.end()) {
-    const bool mayHaveRun =
-        it->second.Transfer && it->second.Transfer->mayHaveRun();
-    finish(id, {Reason{ErrorCode::DeadlineExceeded, "deadline passed"},
-                mayHaveRun});
+  if (it == Calls.end()) {
+    return;
   }
-}
-
-// Reports the transfers that ended. A callback may start or cancel others.
-void HttpClient::Impl::collect() {
-  int left = 0;
-  while (const auto *message = curl_multi_info_read(Multi, &left)) {
-    if (message->msg != CURLMSG_DONE) {
-      continue;
-    }
-    const auto id = CurlTransfer::idOf(message->easy_handle);
-    const auto it = Calls.find(id);
-    if (it != Calls.end() && it->second.Transfer) {
-      finish(id, it->second.Transfer->outcome(message->data.result));
-    }
+  bool sent = false;
+  if (const auto channel = it->second.Channel) {
+    sent = channel->sentAny();
+    drop(*channel);
   }
+  Waiting.erase(std::remove(Waiting.begin(), Waiting.end(), id), Waiting.end());
+  finish(id, {Reason{ErrorCode::DeadlineExceeded, "deadline passed"}, sent});
 }
 
-void HttpClient::Impl::act(int fd, int mask) {
-  int running = 0;
-  curl_multi_socket_action(Multi, fd, mask, &running);
-  collect();
-  if (!Discarded.empty()) {
-    // The watch that called is still in use until the loop's next turn.
-    auto unused = std::make_shared<decltype(Discarded)>(std::move(Discarded));
-    Discarded.clear();
-    Loop.schedule(Loop.now(), [unused] {});
+void HttpClient::Impl::runWaiting() {
+  while (!Waiting.empty() && assign(Waiting.front())) {
+    Waiting.pop_front();
   }
 }
 
-void HttpClient::Impl::onSocket(int fd, int what) {
-  const auto it = Watches.find(fd);
-  if (what == CURL_POLL_REMOVE) {
-    if (it != Watches.end()) {
-      it->second->watch(ACE_Event_Handler::NULL_MASK);
-      Discarded.push_back(std::move(it->second));
-      Watches.erase(it);
-    }
+// Closes connections that were idle too long, before their server does.
+void HttpClient::Impl::sweep() {
+  if (Sweep != TimerId::None) {
     return;
   }
-  auto &watch = Watches[fd];
-  if (!watch) {
-    watch = std::make_unique<DescriptorWatch>(
-        Loop.ace(), fd, [this, fd](ACE_Reactor_Mask ready) {
-          act(fd, ready == ACE_Event_Handler::READ_MASK ? CURL_CSELECT_IN
-                                                        : CURL_CSELECT_OUT);
-        });
-  }
-  ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
-  if ((what & CURL_POLL_IN) != 0) {
-    mask |= ACE_Event_Handler::READ_MASK;
-  }
-  if ((what & CURL_POLL_OUT) != 0) {
-    mask |= ACE_Event_Handler::WRITE_MASK;
-  }
-  watch->watch(mask);
-}
-
-int HttpClient::Impl::socketCallback(CURL * /*easy*/, curl_socket_t fd,
-                                     int what, void *cls, void * /*watch*/) {
-  static_cast<Impl *>(cls)->onSocket(fd, what);
-  return 0;
-}
-
-int HttpClient::Impl::timerCallback(CURLM * /*multi*/, long ms, void *cls) {
-  auto &self = *static_cast<Impl *>(cls);
-  self.Loop.cancel(self.CurlTimer);
-  self.CurlTimer = TimerId::None;
-  if (ms >= 0) {
-    self.CurlTimer = self.Loop.schedule(
-        self.Loop.now() + std::chrono::milliseconds(ms), [&self] {
-          self.CurlTimer = TimerId::None;
-          self.act(CURL_SOCKET_TIMEOUT, 0);
-        });
-  }
-  return 0;
+  Sweep = Loop.schedule(Loop.now() + std::chrono::seconds(1), [this] {
+    Sweep = TimerId::None;
+    const auto now = Loop.now();
+    const auto open = Channels;
+    for (const auto &it : open) {
+      if (it->User == HttpCallId::None && now >= it->ReusableUntil) {
+        drop(*it);
+      }
+    }
+    if (!Channels.empty()) {
+      sweep();
+    }
+  });
 }
 
 HttpClient::HttpClient(Reactor &reactor, std::size_t maxConnections)
@@ -256,15 +260,60 @@
 HttpClient::~HttpClient() = default;
 
 HttpCallId HttpClient::start(HttpCall call, Callback done) {
-  return State->start(std::move(call), std::move(done));
+  const auto id = ++State->NextCall;
+  auto &entry = State->Calls[id];
+  entry.Done = std::move(done);
+  const auto target = parseUrl(call.Url);
+  if (!target || !isWellFormed(call, *target)) {
+    entry.Timer = State->Loop.schedule(State->Loop.now(), [this, id] {
+      State->finish(id, {Reason{ErrorCode::InvalidArgument,
+                                "the request is not well-formed"},
+                         false});
+    });
+    return static_cast<HttpCallId>(id);
+  }
+  entry.To = *target;
+  entry.Call = std::move(call);
+  entry.Timer = State->Loop.schedule(entry.Call.Deadline,
+                                     [this, id] { State->expire(id); });
+  State->Starting = true;
+  State->begin(id);
+  State->Starting = false;
+  return static_cast<HttpCallId>(id);
 }
 
 void HttpClient::setMaxConnections(std::size_t max) {
-  State->setMaxConnections(max);
+  State->MaxConnections = std::max<std::size_t>(max, 1);
+  while (State->Channels.size() > State->MaxConnections && State->makeRoom()) {
+  }
 }
 
 void HttpClient::cancel(HttpCallId id) {
-  State->cancel(static_cast<std::uint64_t>(id));
+  const auto raw = static_cast<std::uint64_t>(id);
+  const auto it = State->Calls.find(raw);
+  if (it == State->Calls.end()) {
+    return;
+  }
+  if (it->second.Channel) {
+    State->drop(*it->second.Channel);
+  }
+  State->Loop.cancel(it->second.Timer);
+  State->Waiting.erase(
+      std::remove(State->Waiting.begin(), State->Waiting.end(), raw),
+      State->Waiting.end());
+  State->Calls.erase(it);
+  State->runWaiting();
+}
+
+void HttpClient::closeIdle() {
+  const auto open = State->Channels;
+  for (const auto &it : open) {
+    if (it->User == HttpCallId::None) {
+      State->drop(*it);
+    }
+  }
 }
 
+HttpClientFigures HttpClient::figures() const { return State->Figures; }
+
 } // namespace chivefold
--- /dev/null
+++ b/src/mesh/fleet_table.cpp
@@ -0,0 +1,166 @@
+#include "chivefold/mesh/fleet_table.h"
+
+#include <algorithm>
+#include <array>
+
+namespace chivefold {
+
+namespace {
+
+constexpr std::array<std::string_view, 3> PhaseNames{"absent", "ready",
+                                                     "draining"};
+/** Pause before a host that failed is contacted again; doubles up to the
+ * maximum, which bounds the time in which a restarted host stays unknown. */
+constexpr Duration MinPause = std::chrono::milliseconds(250);
+constexpr Duration MaxPause = std::chrono::seconds(2);
+constexpr std::uint32_t MaxDoublings = 3;
+/** A reachable host is contacted if it was silent for this time. */
+constexpr Duration ProbeAfter = std::chrono::seconds(2);
+
+std::uint64_t digestOf(const Address &peer) { return hash64(toString(peer)); }
+
+bool sameServer(const BackendServerState &a, const BackendServerState &b) {
+  return a.Instance == b.Instance && a.Service == b.Service &&
+         a.Version == b.Version && a.Slots == b.Slots && a.Phase == b.Phase;
+}
+
+} // namespace
+
+std::string_view serverPhaseName(ServerPhase phase) {
+  return PhaseNames[static_cast<std::size_t>(phase)];
+}
+
+FleetTable::FleetTable(std::uint64_t seed) : Random(seed) {}
+
+HostEntry *FleetTable::add(const Address &peer, TimePoint now) {
+  const auto it = Hosts.find(peer);
+  if (it != Hosts.end()) {
+    return &it->second;
+  }
+  if (Hosts.size() >= MaxHosts) {
+    auto oldest = Hosts.end();
+    for (auto host = Hosts.begin(); host != Hosts.end(); ++host) {
+      if (!host->second.reachable() &&
+          (oldest == Hosts.end() ||
+           host->second.HeardAt < oldest->second.HeardAt)) {
+        oldest = host;
+      }
+    }
+    if (oldest == Hosts.end()) {
+      return nullptr;
+    }
+    remove(Address(oldest->first));
+  }
+  auto &entry = Hosts[peer];
+  entry.State.Peer = peer;
+  entry.AddedAt = now;
+  Digest ^= digestOf(peer);
+  return &entry;
+}
+
+bool FleetTable::addAddress(const Address &peer, TimePoint now) {
+  if (Hosts.count(peer) > 0) {
+    return false;
+  }
+  return add(peer, now) != nullptr;
+}
+
+bool FleetTable::update(const HostState &state, TimePoint now) {
+  auto *entry = add(state.Peer, now);
+  if (entry == nullptr) {
+    return false;
+  }
+  auto &known = entry->State;
+  if (entry->Heard && known.BootId == state.BootId &&
+      state.Sequence < known.Sequence) {
+    return false;
+  }
+  const bool changed = !entry->reachable() || known.BootId != state.BootId ||
+                       known.Leaving != state.Leaving ||
+                       known.DataCentre != state.DataCentre ||
+                       !sameServer(known.Server, state.Server);
+  known = state;
+  entry->Heard = true;
+  entry->HeardAt = now;
+  entry->Failures = 0;
+  return changed;
+}
+
+void FleetTable::failed(const Address &peer, TimePoint now) {
+  const auto it = Hosts.find(peer);
+  if (it != Hosts.end()) {
+    it->second.FailedAt = now;
+    ++it->second.Failures;
+  }
+}
+
+void FleetTable::heard(const Address &peer, TimePoint now) {
+  const auto it = Hosts.find(peer);
+  if (it != Hosts.end()) {
+    it->second.HeardAt = now;
+    it->second.Failures = 0;
+  }
+}
+
+void FleetTable::remove(const Address &peer) {
+  if (Hosts.erase(peer) > 0) {
+    Digest ^= digestOf(peer);
+  }
+}
+
+const HostEntry *FleetTable::find(const Address &peer) const {
+  const auto it = Hosts.find(peer);
+  return it == Hosts.end() ? nullptr : &it->second;
+}
+
+std::vector<Address> FleetTable::addresses() const {
+  std::vector<Address> out;
+  out.reserve(Hosts.size());
+  for (const auto &it : Hosts) {
+    out.push_back(it.first);
+  }
+  return out;
+}
+
+bool FleetTable::dueAgain(const HostEntry &entry, TimePoint now) const {
+  if (entry.Failures == 0) {
+    return !entry.Heard;
+  }
+  const auto doublings = std::min(entry.Failures - 1, MaxDoublings);
+  const auto pause = std::min(MinPause * (1 << doublings), MaxPause);
+  return now >= entry.FailedAt + pause;
+}
+
+std::vector<Address> FleetTable::toProbe(TimePoint now) {
+  std::vector<Address> out;
+  const HostEntry *silent = nullptr;
+  for (const auto &it : Hosts) {
+    if (dueAgain(it.second, now)) {
+      out.push_back(it.first);
+    } else if (it.second.reachable() &&
+               (silent == nullptr || it.second.HeardAt < silent->HeardAt)) {
+      silent = &it.second;
+    }
+  }
+  if (silent != nullptr && silent->HeardAt + ProbeAfter <= now) {
+    out.push_back(silent->State.Peer);
+  }
+  std::shuffle(out.begin(), out.end(), Random);
+  return out;
+}
+
+std::vector<Address> FleetTable::forget(TimePoint now) {
+  std::vector<Address> out;
+  for (const auto &it : Hosts) {
+    const auto since = std::max(it.second.HeardAt, it.second.AddedAt);
+    if (!it.second.reachable() && since + ForgetAfter <= now) {
+      out.push_back(it.first);
+    }
+  }
+  for (const auto &it : out) {
+    remove(it);
+  }
+  return out;
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/src/mesh/placement.cpp
@@ -0,0 +1,260 @@
+#include "chivefold/mesh/placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chivefold {
+
+namespace {
+
+/** Before the first call of a route. */
+constexpr double FirstTimeUs = 50'000;
+constexpr double FirstBytes = 1'000;
+/** Weight of the newest call in the figures of a route. */
+constexpr double RouteWeight = 0.05;
+constexpr double MinSlowness = 0.3;
+constexpr double MaxSlowness = 20;
+/** Random part of a score, so that daemons with equal views do not all choose
+ * the same server. */
+constexpr double Jitter = 0.1;
+/** Retry-after time when no server of the service takes work. */
+constexpr Duration NoServerRetryAfter = std::chrono::milliseconds(500);
+
+/** Worth of a request by its urgency; the platform states only the order. */
+double worthOf(std::uint32_t priority) {
+  return priority >= 2 ? Placement::LowestWorth : 3.0 - priority;
+}
+
+} // namespace
+
+Placement::Placement(const FleetTable &fleet, const OperatorState &orders,
+                     VersionPolicy &versions, Address self,
+                     std::string dataCentre, std::uint64_t seed,
+                     const PlacementSettings &settings)
+    : Fleet(fleet), Orders(orders), Versions(versions), Self(std::move(self)),
+      DataCentre(std::move(dataCentre)), Random(seed), Settings(settings) {}
+
+void Placement::refresh() {
+  ByService.clear();
+  for (const auto &it : Fleet.hosts()) {
+    const auto &server = it.second.State.Server;
+    if (!it.second.Heard || server.Service.empty()) {
+      continue;
+    }
+    ByService[server.Service].push_back(it.first);
+    if (server.Phase == ServerPhase::Ready) {
+      Versions.saw(server.Service, server.Version);
+    }
+  }
+  for (auto it = Loads.begin(); it != Loads.end();) {
+    const bool known = Fleet.find(it->first) != nullptr || it->second.Mine > 0;
+    it = known ? std::next(it) : Loads.erase(it);
+  }
+}
+
+bool Placement::usable(const HostState &host, const PlacementRequest &request,
+                       TimePoint now) const {
+  if (host.Server.Phase != ServerPhase::Ready || host.Leaving ||
+      host.Server.Service != request.Service ||
+      Orders.isEvacuated(host.DataCentre)) {
+    return false;
+  }
+  const auto *tried = request.Tried;
+  if (tried != nullptr &&
+      std::find(tried->begin(), tried->end(), host.Peer) != tried->end()) {
+    return false;
+  }
+  const auto load = Loads.find(host.Peer);
+  return load == Loads.end() || now >= load->second.NotBefore;
+}
+
+double Placement::decay(TimePoint since, TimePoint now) const {
+  return std::exp2(-static_cast<double>((now - since).count()) /
+                   static_cast<double>(Settings.HalfLife.count()));
+}
+
+double Placement::score(const HostState &host, const PlacementRequest &request,
+                        TimePoint now, double &expectedUs) const {
+  const auto figures = Routes.find(request.Route);
+  const double time =
+      figures == Routes.end() ? FirstTimeUs : figures->second.TimeUs;
+  const double bytes =
+      figures == Routes.end() ? FirstBytes : figures->second.Bytes;
+  double slowness = 1;
+  double errors = 0;
+  double ahead = 0;
+  double slots = std::max<double>(host.Server.Slots, 1);
+  const auto it = Loads.find(host.Peer);
+  if (it != Loads.end()) {
+    const auto &load = it->second;
+    slowness = 1 + (load.Slowness - 1) * decay(load.SlownessAt, now);
+    errors = load.Errors * decay(load.ErrorsAt, now);
+    ahead = load.Mine + load.Others * decay(load.GateAt, now);
+    if (load.Limit > 0 && load.Limit < slots) {
+      slots = load.Limit;
+    }
+  }
+  // Up to its slots a server works at full speed; beyond, work waits.
+  const double wait = std::max(0.0, ahead + 1 - slots) / slots;
+  // A nearly full server is used last among equals.
+  const double pressure = 0.15 * std::min(1.0, ahead / slots);
+  expectedUs = time * slowness * (1 + wait);
+  double price = time * slowness * pressure;
+  price += errors * static_cast<double>(Settings.ErrorDelay.count());
+  if (host.Peer != Self) {
+    price += static_cast<double>(Settings.HopDelay.count());
+  }
+  if (host.DataCentre != DataCentre) {
+    price += bytes / 1000 / worthOf(request.Priority) *
+             static_cast<double>(Settings.DelayPerRemoteKilobyte.count());
+  }
+  return expectedUs + price;
+}
+
+// The target of a rollout in its turns, "" for another version.
+std::string Placement::drawVersion(const PlacementRequest &request) {
+  const auto split = Versions.split(request.Service);
+  if (!split || split->ShareBasisPoints == 0) {
+    return {};
+  }
+  auto &turn = SplitTurns[request.Service];
+  turn += split->ShareBasisPoints;
+  if (turn < FullShare) {
+    return {};
+  }
+  turn -= FullShare;
+  return split->Target;
+}
+
+PlacementChoice Placement::choose(const PlacementRequest &request,
+                                  TimePoint now) {
+  PlacementChoice out;
+  out.RetryAfter = NoServerRetryAfter;
+  const auto hosts = ByService.find(request.Service);
+  if (hosts == ByService.end()) {
+    return out;
+  }
+  const bool first = request.Tried == nullptr || request.Tried->empty();
+  const auto target = first ? drawVersion(request) : std::string();
+  const auto split = Versions.split(request.Service);
+  std::uniform_real_distribution<double> jitter(1, 1 + Jitter);
+  double best = 0;
+  const HostState *chosen = nullptr;
+  bool chosenFits = false;
+  for (const auto &it : hosts->second) {
+    const auto *entry = Fleet.find(it);
+    if (entry == nullptr || !(entry->reachable() || it == Self) ||
+        !usable(entry->State, request, now)) {
+      continue;
+    }
+    const auto &server = entry->State.Server;
+    if (Versions.share(request.Service, server.Version) == 0) {
+      continue;
+    }
+    ++out.Candidates;
+    // Requests beyond the share of a rollout's target must not reach it.
+    const bool isTarget = split && server.Version == split->Target;
+    const bool fits = isTarget == (split && target == split->Target);
+    if (!fits && isTarget) {
+      continue;
+    }
+    double expectedUs = 0;
+    const double value =
+        score(entry->State, request, now, expectedUs) * jitter(Random);
+    if (chosen == nullptr || (fits && !chosenFits) ||
+        (fits == chosenFits && value < best)) {
+      best = value;
+      chosen = &entry->State;
+      chosenFits = fits;
+      out.Expected = Duration(static_cast<std::int64_t>(expectedUs));
+    }
+  }
+  if (chosen != nullptr) {
+    out.Peer = chosen->Peer;
+    out.Instance = chosen->Server.Instance;
+    out.Version = chosen->Server.Version;
+  }
+  return out;
+}
+
+void Placement::started(const Address &peer) { ++Loads[peer].Mine; }
+
+void Placement::learnGate(Load &load, const GateState &gate, TimePoint now) {
+  load.Limit = gate.Limit;
+  load.Others = std::max(0.0, static_cast<double>(gate.InFlight) +
+                                  gate.Queued - load.Mine);
+  load.GateAt = now;
+}
+
+void Placement::answered(const Address &peer, const std::string &route,
+                         Duration latency, std::size_t bytes, bool serverError,
+                         const GateState &gate, TimePoint now) {
+  auto &load = Loads[peer];
+  load.Mine -= load.Mine > 0 ? 1 : 0;
+  learnGate(load, gate, now);
+  const double known = load.Errors * decay(load.ErrorsAt, now);
+  load.Errors = known + Settings.ErrorWeight * ((serverError ? 1 : 0) - known);
+  load.ErrorsAt = now;
+  if (serverError) {
+    return;
+  }
+  if (Routes.size() >= MaxRoutes && Routes.count(route) == 0) {
+    return;
+  }
+  const auto us = static_cast<double>(std::max<std::int64_t>(latency.count(), 1));
+  auto &figures =
+      Routes.emplace(route, RouteFigures{us, static_cast<double>(bytes)})
+          .first->second;
+  const double ratio =
+      std::clamp(us / std::max(figures.TimeUs, 1.0), MinSlowness, MaxSlowness);
+  figures.TimeUs += RouteWeight * (us - figures.TimeUs);
+  figures.Bytes += RouteWeight * (static_cast<double>(bytes) - figures.Bytes);
+  const double slowness = 1 + (load.Slowness - 1) * decay(load.SlownessAt, now);
+  load.Slowness = slowness + Settings.SpeedWeight * (ratio - slowness);
+  load.SlownessAt = now;
+}
+
+void Placement::refused(const Address &peer, const GateState &gate,
+                        Duration retryAfter, TimePoint now) {
+  auto &load = Loads[peer];
+  load.Mine -= load.Mine > 0 ? 1 : 0;
+  learnGate(load, gate, now);
+  load.NotBefore = now + std::min(retryAfter, Settings.MaxBackOff);
+}
+
+void Placement::lost(const Address &peer, TimePoint now) {
+  auto &load = Loads[peer];
+  load.Mine -= load.Mine > 0 ? 1 : 0;
+  const double known = load.Errors * decay(load.ErrorsAt, now);
+  load.Errors = known + Settings.ErrorWeight * 2 * (1 - known);
+  load.ErrorsAt = now;
+}
+
+void Placement::cancelled(const Address &peer) {
+  auto &load = Loads[peer];
+  load.Mine -= load.Mine > 0 ? 1 : 0;
+}
+
+Duration Placement::expected(const std::string &route) const {
+  const auto it = Routes.find(route);
+  return Duration(static_cast<std::int64_t>(
+      it == Routes.end() ? FirstTimeUs : it->second.TimeUs));
+}
+
+unsigned Placement::ableServers(const std::string &service,
+                                const std::string &version) const {
+  const auto hosts = ByService.find(service);
+  if (hosts == ByService.end()) {
+    return 0;
+  }
+  return static_cast<unsigned>(std::count_if(
+      hosts->second.begin(), hosts->second.end(), [&](const Address &it) {
+        const auto *entry = Fleet.find(it);
+        return entry != nullptr && (entry->reachable() || it == Self) &&
+               !entry->State.Leaving &&
+               entry->State.Server.Phase == ServerPhase::Ready &&
+               entry->State.Server.Version == version;
+      }));
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/src/mesh/rollout_driver.cpp
@@ -0,0 +1,80 @@
+#include "chivefold/mesh/rollout_driver.h"
+
+#include <algorithm>
+#include <array>
+
+namespace chivefold {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> ActionNames{
+    "none", "set-share", "complete", "roll-back"};
+
+} // namespace
+
+std::string_view rolloutActionName(RolloutAction action) {
+  return ActionNames[static_cast<std::size_t>(action)];
+}
+
+RolloutSettings quickRolloutSettings() {
+  RolloutSettings out;
+  // Servers differ in speed by up to three times; a slow version is slower by
+  // more than that.
+  out.Test.LatencyFactor = 3.5;
+  out.Test.MinLatencyCalls = 8;
+  out.Test.ErrorMargin = 0.08;
+  out.Test.ErrorFloor = 0.01;
+  out.Test.GrossErrorMargin = 0.3;
+  return out;
+}
+
+RolloutDriver::RolloutDriver(RolloutSettings settings)
+    : Settings(std::move(settings)), Test(Settings.Test) {}
+
+double RolloutDriver::elapsedPart(TimePoint now,
+                                  const RolloutView &view) const {
+  const auto allowed = std::max<std::int64_t>(view.TimeAllowed.count(), 1);
+  return static_cast<double>((now - view.OrderedAt).count()) /
+         static_cast<double>(allowed);
+}
+
+bool RolloutDriver::mayComplete(TimePoint now, const RolloutView &view) const {
+  const bool late = elapsedPart(now, view) > (1 + Settings.CompleteFrom) / 2;
+  return view.ShareBasisPoints == FullShare &&
+         now >= ShareSince + Settings.FullShareTime &&
+         elapsedPart(now, view) >= Settings.CompleteFrom &&
+         (view.OldInFlight == 0 || late);
+}
+
+RolloutDecision RolloutDriver::tick(TimePoint now, const RolloutView &view) {
+  if (view.ShareBasisPoints != SeenShare || ShareSince == TimePoint{}) {
+    SeenShare = view.ShareBasisPoints;
+    ShareSince = now;
+    Test.restart();
+  }
+  Test.update(view.OldCounts, view.NewCounts);
+  const auto assessment = Test.assess();
+  if (assessment.Result == TestVerdict::Bad) {
+    return {RolloutAction::RollBack, 0, assessment.Evidence};
+  }
+  if (view.AbleServers == 0 || assessment.Suspicion > Settings.MaxSuspicion) {
+    return {};
+  }
+  if (mayComplete(now, view)) {
+    return {RolloutAction::Complete, FullShare, assessment.Evidence};
+  }
+  const bool seenEnough = view.ShareBasisPoints == 0 ||
+                          Test.callsSinceRestart() >= Settings.MinStepCalls;
+  for (const auto &it : Settings.Steps) {
+    if (it.ShareBasisPoints > view.ShareBasisPoints) {
+      if (seenEnough && elapsedPart(now, view) >= it.From) {
+        return {RolloutAction::SetShare, it.ShareBasisPoints,
+                assessment.Evidence};
+      }
+      break;
+    }
+  }
+  return {};
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/src/mesh/version_policy.cpp
@@ -0,0 +1,123 @@
+#include "chivefold/mesh/version_policy.h"
+
+#include <algorithm>
+
+namespace chivefold {
+
+namespace {
+
+constexpr std::array<std::string_view, 3> PhaseNames{"running", "completed",
+                                                     "rolled-back"};
+
+} // namespace
+
+std::string_view rolloutPhaseName(RolloutPhase phase) {
+  return PhaseNames[static_cast<std::size_t>(phase)];
+}
+
+VersionPolicy::VersionPolicy(const OperatorState &orders) : Orders(orders) {}
+
+bool VersionPolicy::apply(const RolloutProgress &progress) {
+  const auto it = Progress.find(progress.Service);
+  if (it == Progress.end()) {
+    if (Progress.size() >= MaxServices) {
+      return false;
+    }
+    Progress.emplace(progress.Service, progress);
+    return true;
+  }
+  if (progress.Offset <= it->second.Offset) {
+    return false;
+  }
+  it->second = progress;
+  return true;
+}
+
+void VersionPolicy::saw(const std::string &service,
+                        const std::string &version) {
+  if (FirstVersions.size() < MaxServices) {
+    FirstVersions.emplace(service, version);
+  }
+}
+
+void VersionPolicy::vanished(const std::string &service,
+                             const std::string &version) {
+  const auto it = FirstVersions.find(service);
+  if (it != FirstVersions.end() && it->second == version) {
+    FirstVersions.erase(it);
+  }
+}
+
+const RolloutOrder *VersionPolicy::order(std::string_view service) const {
+  const auto it = Orders.rollouts().find(service);
+  return it == Orders.rollouts().end() ? nullptr : &it->second;
+}
+
+const RolloutProgress *
+VersionPolicy::progress(std::string_view service) const {
+  const auto it = Progress.find(service);
+  return it == Progress.end() ? nullptr : &it->second;
+}
+
+std::vector<RolloutProgress> VersionPolicy::all() const {
+  std::vector<RolloutProgress> out;
+  for (const auto &it : Progress) {
+    out.push_back(it.second);
+  }
+  return out;
+}
+
+bool VersionPolicy::isRejected(const RolloutProgress &progress,
+                               std::string_view version) const {
+  return (progress.Phase == RolloutPhase::RolledBack &&
+          progress.TargetVersion == version) ||
+         std::find(progress.Rejected.begin(), progress.Rejected.end(),
+                   version) != progress.Rejected.end();
+}
+
+std::uint32_t VersionPolicy::share(std::string_view service,
+                                   std::string_view version) const {
+  const auto *ordered = order(service);
+  const auto *known = progress(service);
+  if (known != nullptr && isRejected(*known, version)) {
+    return 0;
+  }
+  if (ordered != nullptr &&
+      (known == nullptr || known->OrderOffset < ordered->Offset) &&
+      version == ordered->TargetVersion) {
+    return 0;
+  }
+  if (known != nullptr) {
+    const bool target = version == known->TargetVersion;
+    switch (known->Phase) {
+    case RolloutPhase::Running:
+      return target ? known->ShareBasisPoints
+                    : FullShare - known->ShareBasisPoints;
+    case RolloutPhase::Completed:
+      return target ? FullShare : 0;
+    case RolloutPhase::RolledBack:
+      return FullShare;
+    }
+  }
+  if (ordered != nullptr) {
+    return FullShare;
+  }
+  const auto first = FirstVersions.find(service);
+  return first == FirstVersions.end() || first->second == version ? FullShare
+                                                                  : 0;
+}
+
+std::optional<VersionPolicy::Split>
+VersionPolicy::split(std::string_view service) const {
+  const auto *known = progress(service);
+  if (known == nullptr || known->Phase != RolloutPhase::Running) {
+    return std::nullopt;
+  }
+  const auto *ordered = order(service);
+  if (ordered != nullptr && known->OrderOffset < ordered->Offset) {
+    return std::nullopt;
+  }
+  return Split{known->TargetVersion, known->ShareBasisPoints};
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/src/sidecar/fleet_service.cpp
@@ -0,0 +1,250 @@
+#include "chivefold/sidecar/fleet_service.h"
+
+#include "chivefold/daemon/wire_convert.h"
+
+#include <algorithm>
+
+namespace chivefold {
+
+namespace {
+
+std::unique_ptr<wire::ServerStateT> toWire(const BackendServerState &server) {
+  auto to = std::make_unique<wire::ServerStateT>();
+  to->instance = server.Instance;
+  to->service = server.Service;
+  to->version = server.Version;
+  to->slots = server.Slots;
+  to->phase = static_cast<std::uint8_t>(server.Phase);
+  return to;
+}
+
+std::unique_ptr<wire::GateStateT> toWire(const GateState &gate) {
+  auto to = std::make_unique<wire::GateStateT>();
+  to->limit = gate.Limit;
+  to->in_flight = gate.InFlight;
+  to->queued = gate.Queued;
+  to->cold = gate.Cold;
+  to->leaving = gate.Leaving;
+  return to;
+}
+
+/** @return the state, or nothing if a field is missing or out of range. */
+std::optional<HostState> stateOf(const wire::HelloT &hello) {
+  const auto peer = fromWire(hello.address.get());
+  if (!peer || !hello.server ||
+      hello.server->phase > static_cast<std::uint8_t>(ServerPhase::Draining)) {
+    return std::nullopt;
+  }
+  HostState out;
+  out.Peer = *peer;
+  out.DataCentre = hello.data_centre;
+  out.BootId = hello.boot_id;
+  out.Sequence = hello.sequence;
+  out.Leaving = hello.leaving;
+  out.Server.Instance = hello.server->instance;
+  out.Server.Service = hello.server->service;
+  out.Server.Version = hello.server->version;
+  out.Server.Slots = hello.server->slots;
+  out.Server.Phase = static_cast<ServerPhase>(hello.server->phase);
+  if (hello.gate) {
+    out.Gate = {hello.gate->limit, hello.gate->in_flight, hello.gate->queued,
+                hello.gate->cold, hello.gate->leaving};
+  }
+  return out;
+}
+
+} // namespace
+
+FleetService::FleetService(Reactor &reactor, PeerNetwork &network,
+                           KeyedStore &store, FleetTable &table,
+                           std::function<HostState()> self, Extras extras,
+                           Heard heard, std::function<void()> changed,
+                           std::uint64_t seed)
+    : Loop(reactor), Network(network), Store(store), Table(table),
+      Self(std::move(self)), OwnExtras(std::move(extras)),
+      OnHeard(std::move(heard)), Changed(std::move(changed)), Random(seed) {}
+
+void FleetService::start() {
+  Table.update(Self(), Loop.now());
+  registerSelf();
+  Loop.schedule(Loop.now() + ProbeInterval, [this] { probe(); });
+}
+
+void FleetService::registerSelf() {
+  const auto self = Self();
+  Store.append(KeyedStream::Hosts, toString(self.Peer), self.DataCentre,
+               std::nullopt, Loop.now() + StoreTimeout,
+               [this](AppendEnd end, auto /*offset*/, const Reason &reason) {
+                 if (end != AppendEnd::Written) {
+                   return retryStore(reason);
+                 }
+                 Written = true;
+                 StoreFailures = 0;
+                 listHosts("");
+               });
+}
+
+void FleetService::listHosts(const std::string &afterKey) {
+  Store.list(KeyedStream::Hosts, afterKey, Loop.now() + StoreTimeout,
+             [this](Result<KeyedBatch> batch) {
+               if (!batch) {
+                 return retryStore(batch.reason());
+               }
+               StoreFailures = 0;
+               for (const auto &it : batch->Records) {
+                 const auto peer = parseAddress(it.Key);
+                 if (peer && Table.addAddress(*peer, Loop.now())) {
+                   greet(*peer);
+                 }
+               }
+               if (batch->HasMore && !batch->Records.empty()) {
+                 return listHosts(batch->Records.back().Key);
+               }
+               Registered = true;
+               Lines.info("registered", {{"hosts", Table.hosts().size()}});
+             });
+}
+
+void FleetService::retryStore(const Reason &reason) {
+  constexpr std::uint32_t maxDoublings = 3;
+  const auto pause = std::min(
+      MinStorePause * (1 << std::min(StoreFailures, maxDoublings)),
+      MaxStorePause);
+  ++StoreFailures;
+  Lines.warn("the store did not take the registration",
+             {{"error", errorName(reason.Code)},
+              {"reason", reason.Message},
+              {"failures", std::uint64_t{StoreFailures}}});
+  std::uniform_int_distribution<Duration::rep> jitter(pause.count() / 2,
+                                                      pause.count());
+  Loop.schedule(Loop.now() + Duration(jitter(Random)), [this] {
+    if (Written) {
+      listHosts("");
+    } else {
+      registerSelf();
+    }
+  });
+}
+
+void FleetService::probe() {
+  Loop.schedule(Loop.now() + ProbeInterval, [this] { probe(); });
+  const auto now = Loop.now();
+  const auto self = Self().Peer;
+  Table.heard(self, now);
+  auto due = Table.toProbe(now);
+  due.resize(std::min(due.size(), MaxProbes));
+  for (const auto &it : due) {
+    greet(it);
+  }
+  const auto gone = Table.forget(now);
+  for (const auto &it : gone) {
+    Lines.info("forgot a host that stayed unreachable",
+               {{"host", toString(it)}});
+  }
+  if (!gone.empty()) {
+    Changed();
+  }
+}
+
+void FleetService::announce() {
+  Table.update(Self(), Loop.now());
+  for (const auto &it : Table.hosts()) {
+    if (it.second.reachable()) {
+      greet(it.first);
+    }
+  }
+}
+
+void FleetService::greet(const Address &peer) {
+  if (peer == Self().Peer) {
+    return;
+  }
+  Greeting.insert(peer);
+  Network.request(
+      peer, frameBody(hello(false)), Loop.now() + GreetTimeout,
+      [this, peer](PeerOutcome outcome) {
+        Greeting.erase(peer);
+        auto *answer = outcome.Answer ? outcome.Answer->AsHello() : nullptr;
+        if (answer != nullptr) {
+          take(*answer);
+          return;
+        }
+        const auto *known = Table.find(peer);
+        const bool lost = known != nullptr && known->reachable();
+        Table.failed(peer, Loop.now());
+        if (lost) {
+          Lines.warn("lost a host", {{"host", toString(peer)},
+                                     {"reason", outcome.Failure.Message}});
+          Changed();
+        }
+      });
+}
+
+wire::HelloT FleetService::hello(bool withAddresses) const {
+  const auto self = Self();
+  const auto extras = OwnExtras();
+  wire::HelloT out;
+  out.address = addressToWire(self.Peer);
+  out.data_centre = self.DataCentre;
+  out.boot_id = self.BootId;
+  out.sequence = self.Sequence;
+  out.leaving = self.Leaving;
+  out.server = toWire(self.Server);
+  out.gate = toWire(self.Gate);
+  out.address_digest = Table.addressDigest();
+  out.operator_end = extras.OperatorEnd;
+  out.rollout_digest = extras.RolloutDigest;
+  out.store_age_ms = static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(extras.StoreAge)
+          .count());
+  if (withAddresses) {
+    for (const auto &it : Table.addresses()) {
+      out.addresses.push_back(addressToWire(it));
+    }
+  }
+  return out;
+}
+
+// @return whether the sender knows other addresses than this daemon.
+bool FleetService::take(wire::HelloT &hello) {
+  const auto state = stateOf(hello);
+  if (!state || state->Peer == Self().Peer) {
+    return false;
+  }
+  const auto now = Loop.now();
+  const auto *known = Table.find(state->Peer);
+  const bool isNew = known == nullptr || !known->reachable();
+  const bool changed = Table.update(*state, now);
+  if (changed) {
+    Lines.info(isNew ? "found a host" : "a host changed",
+               {{"host", toString(state->Peer)},
+                {"sequence", state->Sequence},
+                {"service", state->Server.Service},
+                {"version", state->Server.Version},
+                {"phase", serverPhaseName(state->Server.Phase)},
+                {"leaving", state->Leaving ? "yes" : "no"}});
+    Changed();
+  }
+  for (const auto &it : hello.addresses) {
+    const auto peer = fromWire(it.get());
+    if (peer && Table.addAddress(*peer, now)) {
+      greet(*peer);
+    }
+  }
+  GreetingExtras extras;
+  extras.OperatorEnd = hello.operator_end;
+  extras.RolloutDigest = hello.rollout_digest;
+  extras.StoreAge = std::chrono::milliseconds(hello.store_age_ms);
+  OnHeard(state->Peer, extras);
+  return hello.address_digest != Table.addressDigest();
+}
+
+void FleetService::onHello(wire::HelloT &request,
+                           const PeerResponder &respond) {
+  const bool differs = take(request);
+  if (respond) {
+    respond(frameBody(hello(differs)));
+  }
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/src/sidecar/proxy_service.cpp
@@ -0,0 +1,426 @@
+#include "chivefold/sidecar/proxy_service.h"
+
+#include "chivefold/daemon/wire_convert.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace chivefold {
+
+namespace {
+
+/** Before the first configuration, and for what has no other figure. */
+constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(500);
+constexpr std::size_t MaxWeightedRoutes = 8192;
+
+std::string targetOf(const HttpRequest &request) {
+  return request.Query.empty() ? request.Path
+                               : request.Path + "?" + request.Query;
+}
+
+std::uint64_t toMs(Duration d) {
+  return static_cast<std::uint64_t>(std::max<Duration::rep>(d.count(), 0) /
+                                    1000);
+}
+
+} // namespace
+
+struct ProxyService::Request {
+  std::shared_ptr<HttpExchange> Exchange;
+  /** Keeps the route alive while the configuration changes. */
+  std::shared_ptr<const RouteTable> Table;
+  const MeshRoute *Route = nullptr;
+  CallMessage Call;
+  TimePoint ReceivedAt{};
+  TimePoint Deadline{};
+  TimerId Timer = TimerId::None;
+  std::vector<Address> Tried;
+  std::uint32_t Attempts = 0;
+  std::uint32_t Runs = 0;
+  /** Present attempt. */
+  Address Peer;
+  TimePoint AttemptAt{};
+  bool InProgress = false;
+  PeerRequestId PeerCall = PeerRequestId::None;
+  BackendCallId LocalCall = BackendCallId::None;
+  /** Answer with a server error that is kept while another attempt runs. */
+  std::optional<CallResult> ErrorAnswer;
+  Duration RetryAfter{};
+  bool Done = false;
+};
+
+ProxyService::ProxyService(Reactor &reactor, PeerNetwork &network,
+                           const ProxyParts &parts, Address self,
+                           std::string callerService)
+    : Loop(reactor), Network(network), Parts(parts), Self(std::move(self)),
+      CallerService(std::move(callerService)) {}
+
+ProxyService::~ProxyService() {
+  for (const auto &it : Open) {
+    Loop.cancel(it.second->Timer);
+  }
+}
+
+void ProxyService::setCallerService(std::string service) {
+  CallerService = std::move(service);
+}
+
+HttpResponse ProxyService::refusal(int status, Duration retryAfter) const {
+  HttpResponse out;
+  out.Status = status;
+  std::array<char, 32> buf{};
+  std::snprintf(buf.data(), buf.size(), "%.3f",
+                static_cast<double>(std::max<Duration::rep>(
+                    retryAfter.count(), 1000)) /
+                    1e6);
+  out.Headers.push_back({"Retry-After", buf.data()});
+  return out;
+}
+
+void ProxyService::answerUnrouted(const std::shared_ptr<HttpExchange> &exchange,
+                                  const ClientRequest &client) {
+  const auto &routes = Parts.Orders.routes();
+  const int status = !routes ? 503 : client.Hostname.empty() ? 400 : 404;
+  Lines.info("no route", {{"request", client.Id},
+                          {"status", static_cast<std::uint64_t>(status)},
+                          {"host", client.Hostname},
+                          {"path", exchange->request().Path},
+                          {"version", routes ? routes->configuration().Version
+                                             : 0}});
+  if (status == 503) {
+    return exchange->respond(refusal(status, DefaultRetryAfter));
+  }
+  exchange->respond({status, {}, ""});
+}
+
+void ProxyService::handle(const std::shared_ptr<HttpExchange> &exchange) {
+  const auto &received = exchange->request();
+  const auto client = Parts.Ports.Requests.readClient(received);
+  const auto &table = Parts.Orders.routes();
+  const auto *route =
+      table ? table->find(client.Hostname, received.Path) : nullptr;
+  if (route == nullptr) {
+    return answerUnrouted(exchange, client);
+  }
+  const auto now = Loop.now();
+  auto request = std::make_shared<Request>();
+  request->Exchange = exchange;
+  request->Table = table;
+  request->Route = route;
+  request->ReceivedAt = now;
+  request->Deadline =
+      now + std::min(route->Timeout, client.TimeLeft.value_or(route->Timeout));
+  auto &call = request->Call;
+  call.Service = chooseService(*route);
+  call.Method = received.Method;
+  call.Target = targetOf(received);
+  call.Headers = received.Headers;
+  call.Body = received.Body;
+  call.Deadline = request->Deadline;
+  call.Worth = route->Priority;
+  call.Repeatable = route->Kind == RequestKind::Idempotent;
+  call.Route = route->Name;
+  call.CallerService = CallerService;
+  call.RequestId = client.Id;
+  Open.emplace(request.get(), request);
+  const std::weak_ptr<Request> weak = request;
+  request->Timer = Loop.schedule(request->Deadline, [this, weak] {
+    if (const auto open = weak.lock()) {
+      onDeadline(open);
+    }
+  });
+  exchange->onAbandoned([this, weak] {
+    if (const auto open = weak.lock()) {
+      abandon(open);
+    }
+  });
+  attempt(request);
+}
+
+// Smooth weighted round robin, so that each daemon keeps to the weights.
+std::string ProxyService::chooseService(const MeshRoute &route) {
+  if (route.Services.size() == 1 || Weights.size() >= MaxWeightedRoutes) {
+    return route.Services.front().Service;
+  }
+  auto &running = Weights[route.Name];
+  std::int64_t total = 0;
+  const WeightedService *best = nullptr;
+  for (const auto &it : route.Services) {
+    total += it.Weight;
+    auto &value = running[it.Service];
+    value += it.Weight;
+    if (it.Weight > 0 && (best == nullptr || value > running[best->Service])) {
+      best = &it;
+    }
+  }
+  if (best == nullptr) {
+    return route.Services.front().Service;
+  }
+  running[best->Service] -= total;
+  return best->Service;
+}
+
+RetryTokens &ProxyService::tokens(const std::string &service) {
+  return Tokens.try_emplace(service, Loop.now()).first->second;
+}
+
+void ProxyService::attempt(const RequestPtr &request) {
+  const auto now = Loop.now();
+  PlacementRequest wanted;
+  wanted.Service = request->Call.Service;
+  wanted.Route = request->Route->Name;
+  wanted.Priority = request->Route->Priority;
+  wanted.Tried = &request->Tried;
+  const auto choice = Parts.Servers.choose(wanted, now);
+  if (!choice.Peer) {
+    CallResult none =
+        failedCall(Outcome::NotRun, ErrorCode::NotFound, 503, choice.RetryAfter);
+    return decide(request, std::move(none), AttemptEnd::NoServer);
+  }
+  sendTo(request, choice);
+}
+
+void ProxyService::sendTo(const RequestPtr &request,
+                          const PlacementChoice &choice) {
+  ++request->Attempts;
+  request->Peer = *choice.Peer;
+  request->Tried.push_back(*choice.Peer);
+  request->AttemptAt = Loop.now();
+  request->InProgress = true;
+  request->Call.Instance = choice.Instance;
+  Parts.Servers.started(*choice.Peer);
+  const std::weak_ptr<Request> weak = request;
+  if (*choice.Peer == Self) {
+    auto call = request->Call;
+    const auto id =
+        Parts.Backend.run(std::move(call), [this, weak](CallResult result) {
+          const auto open = weak.lock();
+          if (open) {
+            onResult(open, std::move(result));
+          }
+        });
+    request->LocalCall = Parts.Backend.isOpen(id) ? id : BackendCallId::None;
+    return;
+  }
+  request->PeerCall = Network.request(
+      *choice.Peer, frameBody(toWire(request->Call, Loop.now())),
+      request->Deadline, [this, weak](PeerOutcome outcome) {
+        const auto open = weak.lock();
+        if (!open) {
+          return;
+        }
+        auto answer = callAnswer(outcome);
+        if (answer) {
+          return onResult(open, std::move(*answer));
+        }
+        const auto end =
+            outcome.MayHaveArrived ? Outcome::Unknown : Outcome::NotRun;
+        onResult(open, failedCall(end, outcome.Failure.Code, 502, {}));
+      });
+}
+
+AttemptEnd ProxyService::endOf(const CallResult &result) {
+  switch (result.Result) {
+  case Outcome::Answered:
+    return AttemptEnd::Answered;
+  case Outcome::Unknown:
+    return AttemptEnd::Lost;
+  case Outcome::NotRun:
+    break;
+  }
+  if (result.Code == ErrorCode::Declined) {
+    return AttemptEnd::DeclinedByServer;
+  }
+  return result.Code == ErrorCode::ConnectionFailed ? AttemptEnd::NotSent
+                                                    : AttemptEnd::RefusedByGate;
+}
+
+void ProxyService::onResult(const RequestPtr &request, CallResult result) {
+  if (request->Done || !request->InProgress) {
+    return;
+  }
+  request->InProgress = false;
+  request->PeerCall = PeerRequestId::None;
+  request->LocalCall = BackendCallId::None;
+  const auto end = endOf(result);
+  learn(*request, result, end);
+  decide(request, std::move(result), end);
+}
+
+void ProxyService::learn(Request &request, const CallResult &result,
+                         AttemptEnd end) {
+  const auto now = Loop.now();
+  auto &servers = Parts.Servers;
+  switch (end) {
+  case AttemptEnd::Answered:
+    tokens(request.Call.Service).earn();
+    servers.answered(request.Peer, request.Route->Name,
+                     now - request.AttemptAt,
+                     request.Call.Body.size() + result.Body.size(),
+                     result.Status >= 500, result.Gate, now);
+    break;
+  case AttemptEnd::RefusedByGate:
+    servers.refused(request.Peer, result.Gate, result.RetryAfter, now);
+    break;
+  case AttemptEnd::DeclinedByServer:
+    servers.refused(request.Peer, result.Gate, DefaultRetryAfter, now);
+    break;
+  default:
+    servers.lost(request.Peer, now);
+  }
+  if (end == AttemptEnd::Answered || end == AttemptEnd::Lost) {
+    ++request.Runs;
+  }
+}
+
+void ProxyService::decide(const RequestPtr &request, CallResult result,
+                          AttemptEnd end) {
+  const auto now = Loop.now();
+  AttemptFacts facts;
+  facts.End = end;
+  facts.Status = result.Status;
+  facts.Kind = request->Route->Kind;
+  facts.Runs = request->Runs;
+  facts.MaxRuns = request->Route->MaxAttempts;
+  facts.Attempts = request->Attempts;
+  facts.TimeLeft = request->Deadline - now;
+  facts.Expected = Parts.Servers.expected(request->Route->Name);
+  const auto step =
+      AttemptPolicy::next(facts, tokens(request->Call.Service), now);
+  if (end != AttemptEnd::Answered || step != NextStep::Deliver) {
+    Lines.info("attempt failed",
+               {{"request", request->Call.RequestId},
+                {"route", request->Route->Name},
+                {"host", toString(request->Peer)},
+                {"instance", request->Call.Instance},
+                {"end", attemptEndName(end)},
+                {"error", errorName(result.Code)},
+                {"attempt", std::uint64_t{request->Attempts}},
+                {"left_ms", toMs(facts.TimeLeft)},
+                {"again", step == NextStep::TryAgain ? "yes" : "no"}});
+  }
+  if (end == AttemptEnd::RefusedByGate || end == AttemptEnd::NoServer) {
+    request->RetryAfter = request->RetryAfter == Duration::zero()
+                              ? result.RetryAfter
+                              : std::min(request->RetryAfter, result.RetryAfter);
+  }
+  switch (step) {
+  case NextStep::TryAgain:
+    if (end == AttemptEnd::Answered) {
+      request->ErrorAnswer = std::move(result);
+    }
+    return attempt(request);
+  case NextStep::Deliver:
+    return deliver(request, std::move(result));
+  case NextStep::RefuseNotRun:
+    return refuse(request, result);
+  case NextStep::ReportUnknown:
+    return reportUnknown(request, result);
+  }
+}
+
+void ProxyService::deliver(const RequestPtr &request, CallResult result) {
+  HttpResponse response;
+  response.Status = result.Status;
+  response.Headers = endToEndHeaders(result.Headers);
+  response.Body = std::move(result.Body);
+  finish(request, std::move(response), Outcome::Answered);
+}
+
+void ProxyService::refuse(const RequestPtr &request, const CallResult &result) {
+  const auto after = request->RetryAfter > Duration::zero()
+                         ? request->RetryAfter
+                         : std::max(result.RetryAfter, DefaultRetryAfter);
+  finish(request, refusal(503, after), Outcome::NotRun);
+}
+
+void ProxyService::reportUnknown(const RequestPtr &request,
+                                 const CallResult & /*result*/) {
+  if (request->ErrorAnswer) {
+    return deliver(request, std::move(*request->ErrorAnswer));
+  }
+  const int status = Loop.now() >= request->Deadline ? 504 : 502;
+  finish(request, {status, {}, ""}, Outcome::Unknown);
+}
+
+void ProxyService::onDeadline(const RequestPtr &request) {
+  if (request->Done) {
+    return;
+  }
+  request->Timer = TimerId::None;
+  const bool sent = request->InProgress || request->Runs > 0;
+  Lines.info("deadline passed",
+             {{"request", request->Call.RequestId},
+              {"route", request->Route->Name},
+              {"host", toString(request->Peer)},
+              {"attempt", std::uint64_t{request->Attempts}},
+              {"held_ms", toMs(Loop.now() - request->ReceivedAt)}});
+  if (request->InProgress) {
+    Parts.Servers.lost(request->Peer, Loop.now());
+  }
+  stopAttempt(*request);
+  if (sent) {
+    return reportUnknown(request, {});
+  }
+  refuse(request, {});
+}
+
+void ProxyService::stopAttempt(Request &request) {
+  request.InProgress = false;
+  if (request.PeerCall != PeerRequestId::None) {
+    Network.cancel(request.PeerCall);
+    request.PeerCall = PeerRequestId::None;
+  }
+  if (request.LocalCall != BackendCallId::None) {
+    Parts.Backend.cancel(request.LocalCall);
+    request.LocalCall = BackendCallId::None;
+  }
+}
+
+void ProxyService::abandon(const RequestPtr &request) {
+  if (request->Done) {
+    return;
+  }
+  request->Done = true;
+  if (request->InProgress) {
+    Parts.Servers.cancelled(request->Peer);
+  }
+  stopAttempt(*request);
+  Loop.cancel(request->Timer);
+  Lines.info("client left",
+             {{"request", request->Call.RequestId},
+              {"route", request->Route->Name},
+              {"held_ms", toMs(Loop.now() - request->ReceivedAt)}});
+  Open.erase(request.get());
+}
+
+void ProxyService::finish(const RequestPtr &request, HttpResponse response,
+                          Outcome outcome) {
+  request->Done = true;
+  Loop.cancel(request->Timer);
+  const auto now = Loop.now();
+  const auto held = now - request->ReceivedAt;
+  CallSample sample;
+  sample.Service = request->Call.Service;
+  sample.Kind = request->Route->Name;
+  sample.Result = outcome;
+  sample.Good = outcome == Outcome::Answered && response.Status < 500 &&
+                held <= request->Route->TargetLatency;
+  sample.Latency = held;
+  Parts.Figures.record(now, sample);
+  if (outcome != Outcome::Answered) {
+    Lines.info("request failed",
+               {{"request", request->Call.RequestId},
+                {"route", request->Route->Name},
+                {"outcome", outcomeName(outcome)},
+                {"status", static_cast<std::uint64_t>(response.Status)},
+                {"attempts", std::uint64_t{request->Attempts}},
+                {"held_ms", toMs(held)},
+                {"version",
+                 request->Table->configuration().Version}});
+  }
+  request->Exchange->respond(std::move(response));
+  Open.erase(request.get());
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/src/sidecar/rollout_service.cpp
@@ -0,0 +1,476 @@
+#include "chivefold/sidecar/rollout_service.h"
+
+#include "chivefold/daemon/wire_convert.h"
+
+#include <algorithm>
+
+namespace chivefold {
+
+namespace {
+
+std::unique_ptr<wire::RolloutProgressT> toWire(const RolloutProgress &from) {
+  auto to = std::make_unique<wire::RolloutProgressT>();
+  to->service = from.Service;
+  to->target_version = from.TargetVersion;
+  to->order_offset = from.OrderOffset;
+  to->phase = static_cast<std::uint8_t>(from.Phase);
+  to->share_basis_points = from.ShareBasisPoints;
+  to->elapsed_ms = static_cast<std::uint32_t>(from.Elapsed.count() / 1000);
+  to->rejected = from.Rejected;
+  to->base_version = from.BaseVersion;
+  to->offset = from.Offset;
+  return to;
+}
+
+/** @return the progress, or nothing if a field is missing or out of range. */
+std::optional<RolloutProgress> fromWire(const wire::RolloutProgressT &from) {
+  if (from.service.empty() || from.target_version.empty() ||
+      from.phase > static_cast<std::uint8_t>(RolloutPhase::RolledBack) ||
+      from.share_basis_points > FullShare) {
+    return std::nullopt;
+  }
+  RolloutProgress to;
+  to.Service = from.service;
+  to.TargetVersion = from.target_version;
+  to.OrderOffset = from.order_offset;
+  to.Phase = static_cast<RolloutPhase>(from.phase);
+  to.ShareBasisPoints = from.share_basis_points;
+  to.Elapsed = std::chrono::milliseconds(from.elapsed_ms);
+  to.Rejected = from.rejected;
+  to.BaseVersion = from.base_version;
+  to.Offset = from.offset;
+  return to;
+}
+
+std::string encode(const RolloutProgress &progress) {
+  flatbuffers::FlatBufferBuilder builder;
+  const auto content = toWire(progress);
+  builder.Finish(wire::RolloutProgress::Pack(builder, content.get()));
+  return {reinterpret_cast<const char *>(builder.GetBufferPointer()),
+          builder.GetSize()};
+}
+
+std::optional<RolloutProgress> decode(const KeyedRecord &record) {
+  if (!record.Value) {
+    return std::nullopt;
+  }
+  // Buffers are read in place, so they must be aligned.
+  const std::vector<std::uint8_t> bytes(record.Value->begin(),
+                                        record.Value->end());
+  flatbuffers::Verifier verifier(bytes.data(), bytes.size());
+  if (!verifier.VerifyBuffer<wire::RolloutProgress>(nullptr)) {
+    return std::nullopt;
+  }
+  wire::RolloutProgressT content;
+  flatbuffers::GetRoot<wire::RolloutProgress>(bytes.data())->UnPackTo(&content);
+  auto progress = fromWire(content);
+  if (progress) {
+    progress->Offset = record.Offset;
+  }
+  return progress;
+}
+
+bool isFinal(RolloutPhase phase) { return phase != RolloutPhase::Running; }
+
+void add(std::map<std::string, KindCounts> &sums,
+         const std::vector<KindCounts> &counts) {
+  for (const auto &it : counts) {
+    auto &sum = sums[it.PathPrefix];
+    sum.PathPrefix = it.PathPrefix;
+    sum.Calls += it.Calls;
+    sum.Errors += it.Errors;
+    sum.LatencySumUs += it.LatencySumUs;
+    sum.LatencySquareSumMs2 += it.LatencySquareSumMs2;
+  }
+}
+
+std::vector<KindCounts> values(const std::map<std::string, KindCounts> &sums) {
+  std::vector<KindCounts> out;
+  for (const auto &it : sums) {
+    out.push_back(it.second);
+  }
+  return out;
+}
+
+} // namespace
+
+RolloutService::RolloutService(Reactor &reactor, PeerNetwork &network,
+                               const RolloutParts &parts, Address self,
+                               std::function<void()> changed)
+    : Loop(reactor), Network(network), Parts(parts), Self(std::move(self)),
+      Changed(std::move(changed)) {}
+
+void RolloutService::start() {
+  list();
+  Loop.schedule(Loop.now() + TickInterval, [this] { tick(); });
+}
+
+void RolloutService::list() {
+  if (Listing) {
+    return;
+  }
+  Listing = true;
+  Parts.Store.list(
+      KeyedStream::Rollouts, "", Loop.now() + StoreTimeout,
+      [this](const Result<KeyedBatch> &batch) {
+        Listing = false;
+        if (!batch) {
+          ++StoreFailures;
+          const auto pause = std::min<Duration>(
+              TickInterval * std::min(StoreFailures, 4U), MaxStorePause);
+          if (!StreamEnd) {
+            Loop.schedule(Loop.now() + pause, [this] { list(); });
+          }
+          return;
+        }
+        StoreFailures = 0;
+        StreamEnd = std::max(StreamEnd.value_or(0), batch->End);
+        for (const auto &it : batch->Records) {
+          if (const auto progress = decode(it)) {
+            auto &place = Confirmed[progress->Service];
+            place = std::max(place, progress->Offset);
+            take(*progress);
+          }
+        }
+      });
+}
+
+bool RolloutService::take(const RolloutProgress &progress) {
+  if (!Parts.Versions.apply(progress)) {
+    return false;
+  }
+  Lines.info("progress",
+             {{"service", progress.Service},
+              {"target", progress.TargetVersion},
+              {"phase", rolloutPhaseName(progress.Phase)},
+              {"share", std::uint64_t{progress.ShareBasisPoints}},
+              {"offset", progress.Offset}});
+  Changed();
+  return true;
+}
+
+void RolloutService::ordersChanged() {
+  for (const auto &it : Parts.Orders.rollouts()) {
+    auto &seen = SeenOrders[it.first];
+    if (seen.OrderOffset != it.second.Offset || seen.At == TimePoint{}) {
+      seen = {it.second.Offset, Loop.now()};
+    }
+  }
+}
+
+Duration RolloutService::elapsed(const RolloutOrder &order) const {
+  const auto it = SeenOrders.find(order.Service);
+  Duration out{};
+  if (it != SeenOrders.end()) {
+    out = Loop.now() - it->second.At;
+  }
+  const auto *known = Parts.Versions.progress(order.Service);
+  if (known != nullptr && known->OrderOffset == order.Offset) {
+    out = std::max(out, known->Elapsed);
+  }
+  return out;
+}
+
+bool RolloutService::isDriver(const std::string &service) const {
+  const auto rank = [&](const Address &peer) {
+    return hash64(toString(peer) + "/" + service);
+  };
+  const auto own = rank(Self);
+  return std::none_of(
+      Parts.Fleet.hosts().begin(), Parts.Fleet.hosts().end(),
+      [&](const auto &it) {
+        return it.first != Self && it.second.reachable() &&
+               !it.second.State.Leaving && rank(it.first) < own;
+      });
+}
+
+void RolloutService::tick() {
+  if (Stopped) {
+    return;
+  }
+  Loop.schedule(Loop.now() + TickInterval, [this] { tick(); });
+  for (const auto &it : Parts.Orders.rollouts()) {
+    if (isDriver(it.first)) {
+      driveOrder(it.second);
+    } else {
+      Drives.erase(it.first);
+    }
+  }
+}
+
+void RolloutService::driveOrder(const RolloutOrder &order) {
+  if (!StreamEnd) {
+    return;
+  }
+  auto &drive =
+      Drives.try_emplace(order.Service, quickRolloutSettings()).first->second;
+  if (drive.OrderOffset != order.Offset) {
+    drive = Drive(quickRolloutSettings());
+    drive.OrderOffset = order.Offset;
+    Lines.info("drives a rollout", {{"service", order.Service},
+                                    {"target", order.TargetVersion},
+                                    {"order", order.Offset}});
+  }
+  const auto *known = Parts.Versions.progress(order.Service);
+  if (known == nullptr || known->OrderOffset < order.Offset) {
+    return write(firstProgress(order));
+  }
+  const auto confirmed = Confirmed.find(order.Service);
+  const bool written = confirmed != Confirmed.end() &&
+                       confirmed->second >= known->Offset;
+  if (!written && isFinal(known->Phase)) {
+    return write(*known);
+  }
+  reportStatus(*known, drive);
+  if (!isFinal(known->Phase)) {
+    collect(order, drive);
+    decide(order, drive);
+  }
+}
+
+RolloutProgress RolloutService::firstProgress(const RolloutOrder &order) const {
+  RolloutProgress out;
+  out.Service = order.Service;
+  out.TargetVersion = order.TargetVersion;
+  out.OrderOffset = order.Offset;
+  out.Elapsed = elapsed(order);
+  if (const auto *before = Parts.Versions.progress(order.Service)) {
+    out.Rejected = before->Rejected;
+    out.BaseVersion = before->BaseVersion;
+    if (before->Phase == RolloutPhase::RolledBack) {
+      out.Rejected.push_back(before->TargetVersion);
+    } else if (before->Phase == RolloutPhase::Completed) {
+      out.BaseVersion = before->TargetVersion;
+    }
+    // An order may name a version again that was rolled back before.
+    out.Rejected.erase(std::remove(out.Rejected.begin(), out.Rejected.end(),
+                                   order.TargetVersion),
+                       out.Rejected.end());
+  }
+  return out;
+}
+
+void RolloutService::collect(const RolloutOrder &order, Drive &drive) {
+  drive.Hosts[Self] = {Parts.Backend.countedVersion(),
+                       Parts.Backend.server().Service == order.Service
+                           ? Parts.Backend.counts()
+                           : std::vector<KindCounts>()};
+  wire::StatsRequestT request;
+  request.service = order.Service;
+  for (const auto &it : Parts.Fleet.hosts()) {
+    if (it.first == Self || !it.second.reachable() ||
+        it.second.State.Server.Service != order.Service) {
+      continue;
+    }
+    Network.request(
+        it.first, frameBody(request), Loop.now() + StatsTimeout,
+        [this, service = order.Service, peer = it.first](PeerOutcome outcome) {
+          const auto *answer =
+              outcome.Answer ? outcome.Answer->AsStatsAnswer() : nullptr;
+          const auto found = Drives.find(service);
+          if (answer == nullptr || found == Drives.end()) {
+            return;
+          }
+          HostCounts counts;
+          for (const auto &stats : answer->stats) {
+            counts.Version = stats->version;
+            KindCounts one;
+            one.PathPrefix = stats->path_prefix;
+            one.Calls = stats->calls;
+            one.Errors = stats->errors;
+            one.LatencySumUs = stats->latency_sum_us;
+            one.LatencySquareSumMs2 = stats->latency_square_sum_ms2;
+            counts.Counts.push_back(std::move(one));
+          }
+          found->second.Hosts[peer] = std::move(counts);
+        });
+  }
+}
+
+void RolloutService::onStatsRequest(const wire::StatsRequestT &request,
+                                    const PeerResponder &respond) const {
+  if (!respond) {
+    return;
+  }
+  wire::StatsAnswerT out;
+  if (Parts.Backend.server().Service == request.service) {
+    for (const auto &it : Parts.Backend.counts()) {
+      auto stats = std::make_unique<wire::KindStatsT>();
+      stats->version = Parts.Backend.countedVersion();
+      stats->path_prefix = it.PathPrefix;
+      stats->calls = it.Calls;
+      stats->errors = it.Errors;
+      stats->latency_sum_us = it.LatencySumUs;
+      stats->latency_square_sum_ms2 = it.LatencySquareSumMs2;
+      out.stats.push_back(std::move(stats));
+    }
+  }
+  respond(frameBody(std::move(out)));
+}
+
+RolloutView RolloutService::viewOf(const RolloutOrder &order,
+                                   const Drive &drive,
+                                   const RolloutProgress &progress) const {
+  RolloutView view;
+  view.OrderedAt = Loop.now() - elapsed(order);
+  view.TimeAllowed = order.TimeAllowed;
+  view.ShareBasisPoints = progress.ShareBasisPoints;
+  view.AbleServers =
+      Parts.Servers.ableServers(order.Service, order.TargetVersion);
+  std::map<std::string, KindCounts> oldSums;
+  std::map<std::string, KindCounts> newSums;
+  for (const auto &it : drive.Hosts) {
+    add(it.second.Version == order.TargetVersion ? newSums : oldSums,
+        it.second.Counts);
+  }
+  view.OldCounts = values(oldSums);
+  view.NewCounts = values(newSums);
+  return view;
+}
+
+void RolloutService::decide(const RolloutOrder &order, Drive &drive) {
+  const auto known = *Parts.Versions.progress(order.Service);
+  const auto decision =
+      drive.Driver.tick(Loop.now(), viewOf(order, drive, known));
+  if (decision.Action == RolloutAction::None) {
+    return;
+  }
+  auto next = known;
+  next.Elapsed = elapsed(order);
+  next.ShareBasisPoints = decision.ShareBasisPoints;
+  if (decision.Action == RolloutAction::Complete) {
+    next.Phase = RolloutPhase::Completed;
+  } else if (decision.Action == RolloutAction::RollBack) {
+    next.Phase = RolloutPhase::RolledBack;
+  }
+  Lines.info("decided",
+             {{"service", order.Service},
+              {"target", order.TargetVersion},
+              {"action", rolloutActionName(decision.Action)},
+              {"share", std::uint64_t{next.ShareBasisPoints}},
+              {"elapsed_ms",
+               static_cast<std::uint64_t>(next.Elapsed.count() / 1000)},
+              {"evidence", decision.Evidence}});
+  if (decision.Action == RolloutAction::RollBack) {
+    // Taking traffic away is always safe: it counts before it is written.
+    next.Offset = known.Offset + 1;
+    take(next);
+    spread();
+  }
+  write(std::move(next));
+}
+
+void RolloutService::write(RolloutProgress progress) {
+  if (Writing || Listing || !StreamEnd || Loop.now() < NextWrite) {
+    return;
+  }
+  Writing = true;
+  const auto at = *StreamEnd;
+  const auto bytes = encode(progress);
+  Parts.Store.append(
+      KeyedStream::Rollouts, progress.Service, bytes, at,
+      Loop.now() + StoreTimeout,
+      [this, progress, at](AppendEnd end, auto /*offset*/,
+                           const Reason &reason) mutable {
+        Writing = false;
+        if (end == AppendEnd::Written) {
+          StoreFailures = 0;
+          StreamEnd = at + 1;
+          progress.Offset = at;
+          Confirmed[progress.Service] = at;
+          // A take-back that is in force already has a place of its own.
+          const auto *known = Parts.Versions.progress(progress.Service);
+          if (known != nullptr && known->Phase == progress.Phase &&
+              known->OrderOffset == progress.OrderOffset &&
+              known->Offset > at) {
+            Confirmed[progress.Service] = known->Offset;
+          }
+          take(progress);
+          return spread();
+        }
+        ++StoreFailures;
+        Lines.warn("a step was not written",
+                   {{"service", progress.Service},
+                    {"error", errorName(reason.Code)},
+                    {"reason", reason.Message}});
+        NextWrite = Loop.now() + std::min<Duration>(
+                                     TickInterval * std::min(StoreFailures, 4U),
+                                     MaxStorePause);
+        // Another driver wrote, or the record may be there.
+        list();
+      });
+}
+
+void RolloutService::reportStatus(const RolloutProgress &progress,
+                                  Drive &drive) {
+  if (drive.Reporting || drive.Reported == progress.Phase ||
+      Loop.now() < NextWrite) {
+    return;
+  }
+  drive.Reporting = true;
+  Parts.Store.append(
+      KeyedStream::RolloutStatus, Parts.Ports.Statuses.key(progress),
+      Parts.Ports.Statuses.encode(progress), std::nullopt,
+      Loop.now() + StoreTimeout,
+      [this, progress](AppendEnd end, auto /*offset*/, const Reason &reason) {
+        const auto it = Drives.find(progress.Service);
+        if (it == Drives.end() ||
+            it->second.OrderOffset != progress.OrderOffset) {
+          return;
+        }
+        it->second.Reporting = false;
+        if (end == AppendEnd::Written) {
+          it->second.Reported = progress.Phase;
+          Lines.info("status reported",
+                     {{"service", progress.Service},
+                      {"phase", rolloutPhaseName(progress.Phase)}});
+          return;
+        }
+        ++StoreFailures;
+        NextWrite = Loop.now() + TickInterval;
+        Lines.warn("the status was not written",
+                   {{"service", progress.Service},
+                    {"reason", reason.Message}});
+      });
+}
+
+wire::RolloutsT RolloutService::progressFrame() const {
+  wire::RolloutsT out;
+  for (const auto &it : Parts.Versions.all()) {
+    out.entries.push_back(toWire(it));
+  }
+  return out;
+}
+
+void RolloutService::spread() const {
+  for (const auto &it : Parts.Fleet.hosts()) {
+    if (it.first != Self && it.second.reachable()) {
+      Network.send(it.first, frameBody(progressFrame()));
+    }
+  }
+}
+
+void RolloutService::onRollouts(const wire::RolloutsT &rollouts) {
+  for (const auto &it : rollouts.entries) {
+    const auto progress = fromWire(*it);
+    if (progress) {
+      take(*progress);
+    }
+  }
+}
+
+void RolloutService::onPeer(const Address &peer, std::uint64_t digest) {
+  if (digest != this->digest() && !Parts.Versions.all().empty()) {
+    Network.send(peer, frameBody(progressFrame()));
+  }
+}
+
+std::uint64_t RolloutService::digest() const {
+  std::uint64_t out = 0;
+  for (const auto &it : Parts.Versions.all()) {
+    out ^= hash64(it.Service, it.Offset + 1);
+  }
+  return out;
+}
+
+} // namespace chivefold
--- /dev/null
+++ b/src/sidecar/sidecar.cpp
@@ -0,0 +1,314 @@
+#include "chivefold/sidecar/sidecar.h"
+
+#include "chivefold/daemon/wire_convert.h"
+#include "chivefold/sidecar/backend_service.h"
+#include "chivefold/sidecar/fleet_service.h"
+#include "chivefold/sidecar/order_feed.h"
+#include "chivefold/sidecar/proxy_service.h"
+#include "chivefold/sidecar/rollout_service.h"
+
+#include <algorithm>
+#include <random>
+
+namespace chivefold {
+
+namespace {
+
+constexpr std::size_t InitialConnections = 16;
+/** Time after the stop in which clients may still begin requests here: the
+ * platform takes a host out after two missed checks, one a second. */
+constexpr Duration StopNotice = std::chrono::milliseconds(2600);
+/** Part of the grace period that is kept free for the exit itself. */
+constexpr Duration ExitReserve = std::chrono::milliseconds(500);
+constexpr Duration DrainCheck = std::chrono::milliseconds(50);
+/** A fleet of one host is ready without any peer after this time. */
+constexpr Duration LonelyReadiness = std::chrono::milliseconds(1500);
+
+} // namespace
+
+struct Sidecar::Parts {
+  Parts(Reactor &reactor, SidecarSettings settings, const PlatformPorts &ports,
+        KeyedStore &store, std::uint64_t seed);
+
+  HostState self() const;
+  void onFrame(wire::FrameBodyUnion &body, const PeerResponder &respond);
+  void onCall(wire::CallRequestT &request, const PeerResponder &respond);
+  void onCancel(std::uint64_t token);
+  void onOrders(const OperatorChange &change);
+  void onServerChanged();
+  void onAdmin(const std::shared_ptr<HttpExchange> &exchange);
+  void onReport(const std::shared_ptr<HttpExchange> &exchange);
+  void onLeave(const std::shared_ptr<HttpExchange> &exchange);
+  bool isReady() const;
+  void drain(TimePoint earliest, TimePoint latest);
+
+  Reactor &Loop;
+  SidecarSettings Own;
+  const PlatformPorts &Ports;
+  std::mt19937_64 Seeds;
+  std::uint64_t BootId;
+  std::uint64_t Sequence = 0;
+  TimePoint StartedAt;
+  bool Leaving = false;
+
+  OperatorState Orders;
+  VersionPolicy Versions;
+  FleetTable Hosts;
+  Placement Servers;
+  Metrics Figures;
+  HttpClient ServerHttp;
+  PeerNetwork Network;
+  BackendService Backend;
+  FleetService Fleet;
+  OrderFeed Feed;
+  RolloutService Rollouts;
+  ProxyService Proxy;
+  HttpServer CallerServer;
+  HttpServer AdminServer;
+  HttpServer ReadinessServer;
+  /** Calls of peers in progress, by token of their request. */
+  std::unordered_map<std::uint64_t, BackendCallId> PeerCalls;
+  Logger Lines{"sidecar"};
+};
+
+Sidecar::Parts::Parts(Reactor &reactor, SidecarSettings settings,
+                      const PlatformPorts &ports, KeyedStore &store,
+                      std::uint64_t seed)
+    : Loop(reactor), Own(std::move(settings)), Ports(ports), Seeds(seed),
+      BootId(Seeds()), StartedAt(Loop.now()), Orders(ports.Orders),
+      Versions(Orders), Hosts(Seeds()),
+      Servers(Hosts, Orders, Versions, Own.PeerListen, Own.DataCentre, Seeds()),
+      Figures(MetricsSettings()), ServerHttp(Loop, InitialConnections),
+      Network(Loop, Own.PeerListen,
+              [this](const Address & /*link*/, wire::FrameBodyUnion &body,
+                     const PeerResponder &respond) { onFrame(body, respond); }),
+      Backend(Loop, ServerHttp, ports, Orders, Versions, Own.BackendServer,
+              Own.DataCentre, [this] { onServerChanged(); }),
+      Fleet(
+          Loop, Network, store, Hosts, [this] { return self(); },
+          [this] {
+            return GreetingExtras{Orders.end(), Feed.storeAge(),
+                                  Rollouts.digest()};
+          },
+          [this](const Address &from, const GreetingExtras &extras) {
+            Feed.onPeer(from, extras);
+            Rollouts.onPeer(from, extras.RolloutDigest);
+          },
+          [this] { Servers.refresh(); }, Seeds()),
+      Feed(
+          Loop, store, Network, Orders,
+          [this](const OperatorChange &change) { onOrders(change); }, Seeds()),
+      Rollouts(Loop, Network,
+               {store, ports, Orders, Hosts, Servers, Backend, Versions},
+               Own.PeerListen, [this] { Servers.refresh(); }),
+      Proxy(Loop, Network, {ports, Orders, Servers, Backend, Figures},
+            Own.PeerListen, Own.Service),
+      CallerServer(Loop, Own.CallerListen,
+                   [this](const std::shared_ptr<HttpExchange> &exchange) {
+                     Proxy.handle(exchange);
+                   }),
+      AdminServer(Loop, Own.AdminListen,
+                  [this](const std::shared_ptr<HttpExchange> &exchange) {
+                    onAdmin(exchange);
+                  }),
+      ReadinessServer(Loop, Own.ReadinessListen,
+                      [this](const std::shared_ptr<HttpExchange> &exchange) {
+                        exchange->respond({isReady() ? 200 : 503, {}, ""});
+                      }) {
+  Network.onCancel([this](std::uint64_t token) { onCancel(token); });
+}
+
+HostState Sidecar::Parts::self() const {
+  HostState out;
+  out.Peer = Own.PeerListen;
+  out.DataCentre = Own.DataCentre;
+  out.BootId = BootId;
+  out.Sequence = Sequence;
+  out.Leaving = Leaving;
+  out.Server = Backend.server();
+  out.Gate = Backend.gate();
+  return out;
+}
+
+bool Sidecar::Parts::isReady() const {
+  const bool knowsPeers = Hosts.hosts().size() > 1 ||
+                          Loop.now() >= StartedAt + LonelyReadiness;
+  return !Leaving && Orders.routes() != nullptr && knowsPeers;
+}
+
+void Sidecar::Parts::onServerChanged() {
+  ++Sequence;
+  Fleet.announce();
+  Servers.refresh();
+}
+
+void Sidecar::Parts::onOrders(const OperatorChange &change) {
+  if (change.Configuration) {
+    const auto &limits = Orders.routes()->configuration().Limits;
+    CallerServer.setLimits({limits.MaxHeaderBytes, limits.MaxBodyBytes,
+                            limits.HeaderTimeout, limits.IdleTimeout});
+  }
+  Rollouts.ordersChanged();
+  Backend.ordersChanged();
+  Servers.refresh();
+}
+
+void Sidecar::Parts::onFrame(wire::FrameBodyUnion &body,
+                             const PeerResponder &respond) {
+  switch (body.type) {
+  case wire::FrameBody::CallRequest:
+    return onCall(*body.AsCallRequest(), respond);
+  case wire::FrameBody::Hello:
+    return Fleet.onHello(*body.AsHello(), respond);
+  case wire::FrameBody::FetchOrders:
+    return Feed.onFetch(respond);
+  case wire::FrameBody::Rollouts:
+    return Rollouts.onRollouts(*body.AsRollouts());
+  case wire::FrameBody::StatsRequest:
+    return Rollouts.onStatsRequest(*body.AsStatsRequest(), respond);
+  default:
+    // Frames of a newer protocol are ignored; the sender sees a time-out.
+    return;
+  }
+}
+
+void Sidecar::Parts::onCall(wire::CallRequestT &request,
+                            const PeerResponder &respond) {
+  if (!respond) {
+    return;
+  }
+  const auto token = Network.requestToken();
+  const auto id = Backend.run(fromWire(request, Loop.now()),
+                              [this, token, respond](const CallResult &result) {
+                                PeerCalls.erase(token);
+                                respond(frameBody(toWire(result)));
+                              });
+  if (Backend.isOpen(id)) {
+    PeerCalls[token] = id;
+  }
+}
+
+void Sidecar::Parts::onCancel(std::uint64_t token) {
+  const auto it = PeerCalls.find(token);
+  if (it != PeerCalls.end()) {
+    Backend.cancel(it->second);
+    PeerCalls.erase(it);
+  }
+}
+
+void Sidecar::Parts::onAdmin(const std::shared_ptr<HttpExchange> &exchange) {
+  const auto &request = exchange->request();
+  switch (Ports.Reports.callOf(request)) {
+  case ReportCall::Report:
+    return onReport(exchange);
+  case ReportCall::Leave:
+    return onLeave(exchange);
+  case ReportCall::None:
+    break;
+  }
+  if (request.Path == "/-/metrics") {
+    return exchange->respond({200,
+                              {{"Content-Type", "text/plain"}},
+                              toPrometheus(Figures.report(Loop.now()))});
+  }
+  if (request.Path == "/-/ready") {
+    return exchange->respond({isReady() ? 200 : 503, {}, ""});
+  }
+  exchange->respond({404, {}, ""});
+}
+
+void Sidecar::Parts::onReport(const std::shared_ptr<HttpExchange> &exchange) {
+  const auto report = Ports.Reports.report(exchange->request());
+  const auto taken =
+      report ? Backend.report(*report) : Status(report.reason());
+  if (!taken) {
+    Lines.info("ignored a report",
+               {{"path", exchange->request().Path},
+                {"error", errorName(taken.reason().Code)},
+                {"reason", taken.reason().Message}});
+  }
+  // A stale report was received all the same; one that cannot be read was not.
+  const bool readable = report.hasValue();
+  exchange->respond({readable ? 200 : 400,
+                     {{"Content-Type", "application/json"}},
+                     "{}"});
+}
+
+void Sidecar::Parts::onLeave(const std::shared_ptr<HttpExchange> &exchange) {
+  const auto instance = Ports.Reports.leaving(exchange->request());
+  const auto taken = Backend.leave(instance);
+  if (!taken) {
+    Lines.info("ignored a departure", {{"instance", instance},
+                                       {"reason", taken.reason().Message}});
+  }
+  exchange->respond({200, {{"Content-Type", "application/json"}}, "{}"});
+}
+
+void Sidecar::Parts::drain(TimePoint earliest, TimePoint latest) {
+  const auto now = Loop.now();
+  const auto open = Proxy.openRequests() + Backend.openCalls() +
+                    CallerServer.openRequests();
+  if ((open == 0 && now >= earliest) || now >= latest) {
+    Lines.info("stopped", {{"open_requests", open}});
+    Loop.stop();
+    return;
+  }
+  Loop.schedule(now + DrainCheck,
+                [this, earliest, latest] { drain(earliest, latest); });
+}
+
+Sidecar::Sidecar(Reactor &reactor, SidecarSettings settings,
+                 const PlatformPorts &ports, KeyedStore &store,
+                 std::uint64_t seed)
+    : All(std::make_unique<Parts>(reactor, std::move(settings), ports, store,
+                                  seed)) {}
+
+Sidecar::~Sidecar() = default;
+
+Status Sidecar::start() {
+  for (auto &started : {All->Network.start(), All->AdminServer.start(),
+                        All->ReadinessServer.start(),
+                        All->CallerServer.start()}) {
+    if (!started) {
+      return started.reason();
+    }
+  }
+  All->Lines.info("started", {{"data_centre", All->Own.DataCentre},
+                              {"service", All->Own.Service},
+                              {"peer", toString(All->Own.PeerListen)},
+                              {"boot", All->BootId}});
+  All->Fleet.start();
+  All->Feed.start();
+  All->Rollouts.start();
+  return Done{};
+}
+
+void Sidecar::reload(const SidecarSettings &settings) {
+  All->Lines.info("settings reloaded", {{"service", settings.Service}});
+  All->Own.Service = settings.Service;
+  All->Proxy.setCallerService(settings.Service);
+  if (!setLogLevel(settings.LogLevel)) {
+    All->Lines.warn("unknown log level", {{"level", settings.LogLevel}});
+  }
+}
+
+void Sidecar::stop() {
+  if (All->Leaving) {
+    return;
+  }
+  All->Leaving = true;
+  ++All->Sequence;
+  All->Lines.info("stopping",
+                  {{"open_requests", All->Proxy.openRequests()},
+                   {"open_calls", All->Backend.openCalls()}});
+  All->Rollouts.stop();
+  All->Backend.startLeaving();
+  All->Fleet.announce();
+  All->Servers.refresh();
+  All->CallerServer.closeAfterAnswers();
+  const auto now = All->Loop.now();
+  const auto latest = now + All->Own.GracePeriod - ExitReserve;
+  All->drain(std::min(now + StopNotice, latest), latest);
+}
+
+} // namespace chivefold
