Keep calls in their data centre by the value of an answer

Servers were chosen by expected time plus 60 ms a kilobyte, so a slow server sent calls across. Ruled out: control traffic (0.4 MB of 6).

--- a/include/chivefold/io/http_server.h
+++ b/include/chivefold/io/http_server.h
@@ -74,7 +74,8 @@
    * to another connection; new ones are still accepted. */
   void closeAfterAnswers();
 
-  /** Stops accepting connections; requests in progress go on. */
+  /** Stops accepting connections and closes idle ones; requests in progress go
+   * on. */
   void quiesce();
 
   /** @return the number of requests that were given to the handler and not
--- a/include/chivefold/mesh/placement.h
+++ b/include/chivefold/mesh/placement.h
@@ -21,16 +21,26 @@
 namespace chivefold {
 
 struct PlacementSettings {
-  /** Delay that is accepted to keep a kilobyte inside the data centre, for a
-   * request of the lowest worth. */
-  Duration DelayPerRemoteKilobyte = std::chrono::milliseconds(60);
-  /** Delay that is accepted to avoid a hop to another host. */
-  Duration HopDelay = std::chrono::milliseconds(3);
+  /** Price of a kilobyte that crosses data centres, in parts of the worth of a
+   * request of the lowest worth; between the prices of the two deployments. */
+  double RemoteKilobytePrice = 0.1;
+  /** Bytes of both messages of a call that are not its bodies. */
+  double OverheadBytes = 800;
+  /** Value of an answer after the target latency, relative to one in time. */
+  double LateValue = 0.4;
+  /** How sharply the chance of an answer in time falls with the expected time:
+   * the power of their ratio in the odds. */
+  double LatenessPower = 3;
+  /** Value lost for each target latency of expected time, so that of two
+   * servers that answer in time the faster one is chosen. */
+  double SlownessPrice = 0.1;
+  /** Value lost with a server that always fails. */
+  double ErrorPrice = 1.0;
+  /** Value lost with a hop to another host of the data centre. */
+  double HopPrice = 0.005;
   /** Weight of the newest call in what is known of a server. */
   double SpeedWeight = 0.15;
   double ErrorWeight = 0.1;
-  /** Delay that a server which always fails is charged with. */
-  Duration ErrorDelay = std::chrono::seconds(3);
   /** Time in which an old figure loses half of its weight. */
   Duration HalfLife = std::chrono::seconds(4);
   Duration MaxBackOff = std::chrono::seconds(1);
@@ -42,6 +52,8 @@
   /** Names the route, for sizes and times. */
   std::string Route;
   std::uint32_t Priority = 0;
+  /** Time within which an answer has its full value; zero if not stated. */
+  Duration TargetLatency{};
   /** Hosts that this request must not use again. */
   const std::vector<Address> *Tried = nullptr;
 };
@@ -60,12 +72,12 @@
 };
 
 /**
- * Chooses the server with the lowest expected time to the answer, plus the
- * price of crossing data centres in terms of delay. The expected time comes
- * from the server's speed as measured, its queue as its gate last told and the
- * calls of this daemon since. Answers slow and failing servers, one-sided load
- * and servers that just returned. Costs O(servers of the service) a choice.
- * Not thread-safe.
+ * Chooses the server with the highest expected value: that of an answer in time
+ * or late, less the price of the bytes that cross data centres. The expected
+ * time comes from the server's speed as measured, its queue as its gate last
+ * told and the calls of this daemon since. Answers slow and failing servers,
+ * one-sided load and servers that just returned. Costs O(servers of the
+ * service) a choice. Not thread-safe.
  */
 class Placement {
 public:
@@ -124,8 +136,10 @@
   bool usable(const HostState &host, const PlacementRequest &request,
               TimePoint now) const;
   double decay(TimePoint since, TimePoint now) const;
-  double score(const HostState &host, const PlacementRequest &request,
+  double value(const HostState &host, const PlacementRequest &request,
                TimePoint now, double &expectedUs) const;
+  double expectedTime(const HostState &host, double routeTime, TimePoint now,
+                      double &errors) const;
   void learnGate(Load &load, const GateState &gate, TimePoint now);
   std::string drawVersion(const PlacementRequest &request);
 
--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -118,6 +118,8 @@
   BackendServerState Server;
   std::optional<std::int64_t> StartedAtMs;
   std::uint64_t Sequence = 0;
+  /** The server is cold until then, by its last report. */
+  TimePoint ColdUntil{};
   /** Connections fail; nothing is sent until the next report. */
   bool Suspect = false;
   bool Leaving = false;
--- a/include/chivefold/sidecar/proxy_service.h
+++ b/include/chivefold/sidecar/proxy_service.h
@@ -50,6 +50,9 @@
   /** Changes the service that requests of this host are said to come from. */
   void setCallerService(std::string service);
 
+  /** Refuses requests from now on; those in progress go on. */
+  void startLeaving() { Leaving = true; }
+
   std::size_t openRequests() const { return Open.size(); }
 
 private:
@@ -81,6 +84,7 @@
   ProxyParts Parts;
   Address Self;
   std::string CallerService;
+  bool Leaving = false;
   std::unordered_map<Request *, RequestPtr> Open;
   /** Bounded by the services of the configuration. */
   std::map<std::string, RetryTokens, std::less<>> Tokens;
--- a/src/io/http_connection.h
+++ b/src/io/http_connection.h
@@ -47,6 +47,12 @@
   void open();
   /** Closes at once; requests without an answer are abandoned. */
   void shut();
+  /** @return whether no request was read, in part or whole, without its
+   * response being written. */
+  bool isIdle() const {
+    return Slots.empty() && Input.empty() && !Current && Output.empty() &&
+           !Lingering;
+  }
   /** Writes the responses that are next in order. */
   void flushAnswers();
 
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -83,6 +83,12 @@
     Watch->watch(ACE_Event_Handler::NULL_MASK);
     Acceptor.close();
     Watch.reset();
+    const auto open = Connections;
+    for (const auto &it : open) {
+      if (it.first->isIdle()) {
+        it.first->shut();
+      }
+    }
   }
 }
 
--- a/src/mesh/placement.cpp
+++ b/src/mesh/placement.cpp
@@ -10,13 +10,15 @@
 /** Before the first call of a route. */
 constexpr double FirstTimeUs = 50'000;
 constexpr double FirstBytes = 1'000;
+/** For a route that states no target latency. */
+constexpr double DefaultTargetUs = 500'000;
 /** Weight of the newest call in the figures of a route. */
 constexpr double RouteWeight = 0.05;
 constexpr double MinSlowness = 0.3;
 constexpr double MaxSlowness = 20;
-/** Random part of a score, so that daemons with equal views do not all choose
+/** Random part of a value, so that daemons with equal views do not all choose
  * the same server. */
-constexpr double Jitter = 0.1;
+constexpr double Jitter = 0.01;
 /** Retry-after time when no server of the service takes work. */
 constexpr Duration NoServerRetryAfter = std::chrono::milliseconds(500);
 
@@ -73,15 +75,10 @@
                    static_cast<double>(Settings.HalfLife.count()));
 }
 
-double Placement::score(const HostState &host, const PlacementRequest &request,
-                        TimePoint now, double &expectedUs) const {
-  const auto figures = Routes.find(request.Route);
-  const double time =
-      figures == Routes.end() ? FirstTimeUs : figures->second.TimeUs;
-  const double bytes =
-      figures == Routes.end() ? FirstBytes : figures->second.Bytes;
+// Time until the answer in microseconds, and the share of failed calls.
+double Placement::expectedTime(const HostState &host, double routeTime,
+                               TimePoint now, double &errors) const {
   double slowness = 1;
-  double errors = 0;
   double ahead = 0;
   double slots = std::max<double>(host.Server.Slots, 1);
   const auto it = Loads.find(host.Peer);
@@ -94,21 +91,41 @@
       slots = load.Limit;
     }
   }
-  // Up to its slots a server works at full speed; beyond, work waits.
+  // Up to its slots a server works at full speed; beyond, work waits. A nearly
+  // full one is used last among equals.
   const double wait = std::max(0.0, ahead + 1 - slots) / slots;
-  // A nearly full server is used last among equals.
-  const double pressure = 0.15 * std::min(1.0, ahead / slots);
-  expectedUs = time * slowness * (1 + wait);
-  double price = time * slowness * pressure;
-  price += errors * static_cast<double>(Settings.ErrorDelay.count());
+  constexpr double pressure = 0.15;
+  return routeTime * slowness *
+         (1 + wait + pressure * std::min(1.0, ahead / slots));
+}
+
+double Placement::value(const HostState &host, const PlacementRequest &request,
+                        TimePoint now, double &expectedUs) const {
+  const auto figures = Routes.find(request.Route);
+  const bool known = figures != Routes.end();
+  double errors = 0;
+  expectedUs =
+      expectedTime(host, known ? figures->second.TimeUs : FirstTimeUs, now,
+                   errors);
+  const double target =
+      request.TargetLatency > Duration::zero()
+          ? static_cast<double>(request.TargetLatency.count())
+          : DefaultTargetUs;
+  const double ratio = expectedUs / target;
+  const double inTime = 1 / (1 + std::pow(ratio, Settings.LatenessPower));
+  const double worth = worthOf(request.Priority);
+  double out =
+      worth * (inTime + (1 - inTime) * Settings.LateValue -
+               Settings.SlownessPrice * ratio - Settings.ErrorPrice * errors);
   if (host.Peer != Self) {
-    price += static_cast<double>(Settings.HopDelay.count());
+    out -= Settings.HopPrice;
   }
   if (host.DataCentre != DataCentre) {
-    price += bytes / 1000 / worthOf(request.Priority) *
-             static_cast<double>(Settings.DelayPerRemoteKilobyte.count());
+    const double bytes = known ? figures->second.Bytes : FirstBytes;
+    out -= (bytes + Settings.OverheadBytes) / 1000 *
+           Settings.RemoteKilobytePrice;
   }
-  return expectedUs + price;
+  return out;
 }
 
 // The target of a rollout in its turns, "" for another version.
@@ -137,7 +154,7 @@
   const bool first = request.Tried == nullptr || request.Tried->empty();
   const auto target = first ? drawVersion(request) : std::string();
   const auto split = Versions.split(request.Service);
-  std::uniform_real_distribution<double> jitter(1, 1 + Jitter);
+  std::uniform_real_distribution<double> jitter(0, Jitter);
   double best = 0;
   const HostState *chosen = nullptr;
   bool chosenFits = false;
@@ -159,11 +176,11 @@
       continue;
     }
     double expectedUs = 0;
-    const double value =
-        score(entry->State, request, now, expectedUs) * jitter(Random);
+    const double gain =
+        value(entry->State, request, now, expectedUs) + jitter(Random);
     if (chosen == nullptr || (fits && !chosenFits) ||
-        (fits == chosenFits && value < best)) {
-      best = value;
+        (fits == chosenFits && gain > best)) {
+      best = gain;
       chosen = &entry->State;
       chosenFits = fits;
       out.Expected = Duration(static_cast<std::int64_t>(expectedUs));
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -61,13 +61,7 @@
   const bool back = Suspect;
   Suspect = false;
   SilentCalls = 0;
-  const auto *service =
-      Orders.routes() ? Orders.routes()->service(report.State.Service) : nullptr;
-  if (report.ColdFor > Duration::zero() && service != nullptr) {
-    Gate.setCold(service->ColdRate, Loop.now() + report.ColdFor);
-  } else if (report.ColdFor == Duration::zero()) {
-    Gate.setCold(0, TimePoint{});
-  }
+  ColdUntil = Loop.now() + report.ColdFor;
   const bool changed = back || !sameStart || Server.Phase != report.State.Phase ||
                        Server.Slots != report.State.Slots ||
                        Server.Version != report.State.Version;
@@ -80,9 +74,9 @@
                 {"phase", serverPhaseName(Server.Phase)},
                 {"slots", std::uint64_t{Server.Slots}},
                 {"sequence", Sequence}});
-    updateGate();
     Changed();
   }
+  updateGate();
   return Done{};
 }
 
@@ -127,16 +121,18 @@
 void BackendService::ordersChanged() { updateGate(); }
 
 void BackendService::updateGate() {
+  // Without the configuration it is not known what a cold server bears.
+  const auto *service =
+      Orders.routes() ? Orders.routes()->service(Server.Service) : nullptr;
   const bool takesWork = Server.Phase == ServerPhase::Ready && !Suspect &&
-                         !Leaving && !Orders.isEvacuated(DataCentre);
+                         !Leaving && service != nullptr &&
+                         !Orders.isEvacuated(DataCentre);
   if (!takesWork) {
     drop(Gate.close(), ErrorCode::NotReady);
     return;
   }
-  const auto *service =
-      Orders.routes() ? Orders.routes()->service(Server.Service) : nullptr;
-  const auto connections = service == nullptr ? 0 : service->MaxConnections;
-  Gate.open(Server.Slots, connections);
+  Gate.setCold(service->ColdRate, ColdUntil);
+  Gate.open(Server.Slots, service->MaxConnections);
   // One connection a running call, and a few that are closing.
   Client.setMaxConnections(Server.Slots + std::max(Server.Slots / 4, 2U));
   runWaiting();
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -11,6 +11,8 @@
 
 /** Before the first configuration, and for what has no other figure. */
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(500);
+/** Time in which a client notices that its host is stopping. */
+constexpr Duration LeavingRetryAfter = std::chrono::milliseconds(100);
 constexpr std::size_t MaxWeightedRoutes = 8192;
 
 std::string targetOf(const HttpRequest &request) {
@@ -103,6 +105,10 @@
     return answerUnrouted(exchange, client);
   }
   const auto now = Loop.now();
+  if (Leaving) {
+    // Clients of this host go elsewhere until the daemon is back.
+    return exchange->respond(refusal(503, LeavingRetryAfter));
+  }
   auto request = std::make_shared<Request>();
   request->Exchange = exchange;
   request->Table = table;
@@ -170,6 +176,7 @@
   wanted.Service = request->Call.Service;
   wanted.Route = request->Route->Name;
   wanted.Priority = request->Route->Priority;
+  wanted.TargetLatency = request->Route->TargetLatency;
   wanted.Tried = &request->Tried;
   const auto choice = Parts.Servers.choose(wanted, now);
   if (!choice.Peer) {
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -50,6 +50,8 @@
   std::uint64_t Sequence = 0;
   TimePoint StartedAt;
   bool Leaving = false;
+  /** No further request of a client is begun. */
+  bool Closed = false;
 
   OperatorState Orders;
   VersionPolicy Versions;
@@ -244,8 +246,15 @@
   exchange->respond({200, {{"Content-Type", "application/json"}}, "{}"});
 }
 
+// Until @p earliest clients may begin requests; then only open ones are
+// finished, until @p latest.
 void Sidecar::Parts::drain(TimePoint earliest, TimePoint latest) {
   const auto now = Loop.now();
+  if (now >= earliest && !Closed) {
+    Closed = true;
+    CallerServer.quiesce();
+    Proxy.startLeaving();
+  }
   const auto open = Proxy.openRequests() + Backend.openCalls() +
                     CallerServer.openRequests();
   if ((open == 0 && now >= earliest) || now >= latest) {
