Do not block on accepted connections; check limits on the headers

Cause: a test that reads 9 MB never ended: ACE hands out accepted connections in blocking mode, so one slow reader stopped the whole daemon. An eager Beast parser also loses the error of a body over its limit when the body comes with its headers; headers are now parsed alone.

--- a/include/chivefold/io/http_server.h
+++ b/include/chivefold/io/http_server.h
@@ -75,7 +75,7 @@
   void closeAfterAnswers();
 
   /** Stops accepting connections and closes idle ones; requests in progress go
-   * on. */
+   * on, and their answers close their connections. */
   void quiesce();
 
   /** @return the number of requests that were given to the handler and not
--- a/include/chivefold/sidecar/fleet_service.h
+++ b/include/chivefold/sidecar/fleet_service.h
@@ -46,7 +46,8 @@
 
   using Extras = std::function<GreetingExtras()>;
   /** @p from greeted or answered. */
-  using Heard = std::function<void(const Address &from, const GreetingExtras &)>;
+  using Heard =
+      std::function<void(const Address &from, const GreetingExtras &)>;
 
   /** @param self returns the present state of this host. @param changed runs
    * when the table changed. The references outlive this object. */
--- a/src/io/http_channel.cpp
+++ b/src/io/http_channel.cpp
@@ -51,9 +51,9 @@
     return HttpClient::MaxIdleTime;
   }
   const auto stated = std::chrono::duration<double>(seconds);
-  return std::min(HttpClient::MaxIdleTime,
-                  std::chrono::duration_cast<Duration>(
-                      stated * HttpClient::KeepAlivePart));
+  return std::min(
+      HttpClient::MaxIdleTime,
+      std::chrono::duration_cast<Duration>(stated * HttpClient::KeepAlivePart));
 }
 
 } // namespace
@@ -119,7 +119,6 @@
 
 void HttpChannel::resetParser() {
   Current.emplace();
-  Current->eager(true);
   Current->skip(Head);
   Current->header_limit(MaxResponseHeaderBytes);
   Current->body_limit(MaxResponseBytes);
@@ -203,6 +202,9 @@
 
 // @return whether more may follow in the input.
 bool HttpChannel::parseOne() {
+  // Headers are parsed alone: an eager parser loses the error of a body that is
+  // over its limit.
+  Current->eager(Current->is_header_done());
   boost::system::error_code ec;
   const auto n =
       Current->put(boost::asio::const_buffer(Input.data(), Input.size()), ec);
--- a/src/io/http_channel.h
+++ b/src/io/http_channel.h
@@ -52,8 +52,8 @@
   TimePoint ReusableUntil{};
 
 private:
-  using Parser = boost::beast::http::response_parser<
-      boost::beast::http::string_body>;
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void onReady(ACE_Reactor_Mask mask);
   void write();
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -166,8 +166,8 @@
     ++Figures.Connections;
     if (!channel->connect()) {
       Loop.schedule(Loop.now(), [this, id] {
-        finish(id, {Reason{ErrorCode::ConnectionFailed, "cannot connect"},
-                    false});
+        finish(id,
+               {Reason{ErrorCode::ConnectionFailed, "cannot connect"}, false});
       });
       return true;
     }
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -199,12 +199,14 @@
 bool HttpConnection::parseSome() {
   if (!Current) {
     Current.emplace();
-    Current->eager(true);
     Current->header_limit(
         static_cast<std::uint32_t>(Owner.Limits.MaxHeaderBytes));
     Current->body_limit(Owner.Limits.MaxBodyBytes);
     ContinueSent = false;
   }
+  // Headers are parsed alone: an eager parser loses the error of a body that is
+  // over its limit.
+  Current->eager(Current->is_header_done());
   boost::system::error_code ec;
   const auto n =
       Current->put(boost::asio::const_buffer(Input.data(), Input.size()), ec);
@@ -294,8 +296,8 @@
 void HttpConnection::appendAnswer(HttpSlot &slot, bool last) {
   const auto &r = *slot.Response;
   Output += "HTTP/1.1 " + std::to_string(r.Status) + " ";
-  Output += std::string(
-      http::obsolete_reason(static_cast<http::status>(r.Status)));
+  Output +=
+      std::string(http::obsolete_reason(static_cast<http::status>(r.Status)));
   Output += "\r\n";
   for (const auto &it : r.Headers) {
     if (!setByServer(it.Name)) {
@@ -369,9 +371,9 @@
   if (Timer != TimerId::None || Fd < 0) {
     return;
   }
-  const auto next =
-      Lingering ? LingerTimeout
-                : std::min(Owner.Limits.HeaderTimeout, Owner.Limits.IdleTimeout);
+  const auto next = Lingering ? LingerTimeout
+                              : std::min(Owner.Limits.HeaderTimeout,
+                                         Owner.Limits.IdleTimeout);
   Timer = Loop.schedule(Loop.now() + next, [this] {
     Timer = TimerId::None;
     onTimer();
@@ -385,7 +387,8 @@
   }
   const bool reading = Current.has_value() || !Input.empty();
   const bool inHeader = reading && !(Current && Current->is_header_done());
-  if (inHeader && mayRead() && now >= RequestBegan + Owner.Limits.HeaderTimeout) {
+  if (inHeader && mayRead() &&
+      now >= RequestBegan + Owner.Limits.HeaderTimeout) {
     return refuse(408);
   }
   if (Slots.empty() && !Blocked && now >= HeardAt + Owner.Limits.IdleTimeout) {
--- a/src/io/http_connection.h
+++ b/src/io/http_connection.h
@@ -57,8 +57,8 @@
   void flushAnswers();
 
 private:
-  using Parser = boost::beast::http::request_parser<
-      boost::beast::http::string_body>;
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   void onReady(ACE_Reactor_Mask mask);
   void receive();
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -25,7 +25,9 @@
       : Loop(r), Listen(std::move(listen)), Handler(std::move(handler)) {}
   ~Impl() override {
     quiesce();
-    for (const auto &it : Connections) {
+    // A connection that is shut leaves the table.
+    const auto open = Connections;
+    for (const auto &it : open) {
       it.second->shut();
     }
   }
@@ -79,6 +81,7 @@
 }
 
 void HttpServer::Impl::quiesce() {
+  Closing = true;
   if (Watch) {
     Watch->watch(ACE_Event_Handler::NULL_MASK);
     Acceptor.close();
@@ -98,6 +101,7 @@
     if (Acceptor.accept(stream, nullptr, nullptr, false) != 0) {
       return;
     }
+    stream.enable(ACE_NONBLOCK);
     if (Connections.size() >= HttpLimits::MaxConnections) {
       stream.close();
       continue;
--- a/src/mesh/placement.cpp
+++ b/src/mesh/placement.cpp
@@ -104,13 +104,11 @@
   const auto figures = Routes.find(request.Route);
   const bool known = figures != Routes.end();
   double errors = 0;
-  expectedUs =
-      expectedTime(host, known ? figures->second.TimeUs : FirstTimeUs, now,
-                   errors);
-  const double target =
-      request.TargetLatency > Duration::zero()
-          ? static_cast<double>(request.TargetLatency.count())
-          : DefaultTargetUs;
+  expectedUs = expectedTime(host, known ? figures->second.TimeUs : FirstTimeUs,
+                            now, errors);
+  const double target = request.TargetLatency > Duration::zero()
+                            ? static_cast<double>(request.TargetLatency.count())
+                            : DefaultTargetUs;
   const double ratio = expectedUs / target;
   const double inTime = 1 / (1 + std::pow(ratio, Settings.LatenessPower));
   const double worth = worthOf(request.Priority);
@@ -122,8 +120,8 @@
   }
   if (host.DataCentre != DataCentre) {
     const double bytes = known ? figures->second.Bytes : FirstBytes;
-    out -= (bytes + Settings.OverheadBytes) / 1000 *
-           Settings.RemoteKilobytePrice;
+    out -=
+        (bytes + Settings.OverheadBytes) / 1000 * Settings.RemoteKilobytePrice;
   }
   return out;
 }
@@ -198,8 +196,8 @@
 
 void Placement::learnGate(Load &load, const GateState &gate, TimePoint now) {
   load.Limit = gate.Limit;
-  load.Others = std::max(0.0, static_cast<double>(gate.InFlight) +
-                                  gate.Queued - load.Mine);
+  load.Others = std::max(0.0, static_cast<double>(gate.InFlight) + gate.Queued -
+                                  load.Mine);
   load.GateAt = now;
 }
 
@@ -218,7 +216,8 @@
   if (Routes.size() >= MaxRoutes && Routes.count(route) == 0) {
     return;
   }
-  const auto us = static_cast<double>(std::max<std::int64_t>(latency.count(), 1));
+  const auto us =
+      static_cast<double>(std::max<std::int64_t>(latency.count(), 1));
   auto &figures =
       Routes.emplace(route, RouteFigures{us, static_cast<double>(bytes)})
           .first->second;
--- a/src/mesh/rollout_driver.cpp
+++ b/src/mesh/rollout_driver.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> ActionNames{
-    "none", "set-share", "complete", "roll-back"};
+constexpr std::array<std::string_view, 4> ActionNames{"none", "set-share",
+                                                      "complete", "roll-back"};
 
 } // namespace
 
--- a/src/mesh/slot_gate.cpp
+++ b/src/mesh/slot_gate.cpp
@@ -59,9 +59,9 @@
   if (!isCold(now) || ColdRate <= 0) {
     return true;
   }
-  const auto recent = std::count_if(
-      Starts.begin(), Starts.end(),
-      [now](TimePoint it) { return it + ColdWindow > now; });
+  const auto recent =
+      std::count_if(Starts.begin(), Starts.end(),
+                    [now](TimePoint it) { return it + ColdWindow > now; });
   return static_cast<std::size_t>(recent) < coldAllowance();
 }
 
--- a/src/mesh/version_policy.cpp
+++ b/src/mesh/version_policy.cpp
@@ -53,8 +53,7 @@
   return it == Orders.rollouts().end() ? nullptr : &it->second;
 }
 
-const RolloutProgress *
-VersionPolicy::progress(std::string_view service) const {
+const RolloutProgress *VersionPolicy::progress(std::string_view service) const {
   const auto it = Progress.find(service);
   return it == Progress.end() ? nullptr : &it->second;
 }
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -44,8 +44,8 @@
   if (wasEnded(report)) {
     return Reason{ErrorCode::Conflict, "the server has ended"};
   }
-  const bool older = StartedAtMs && report.StartedAtMs &&
-                     *report.StartedAtMs < *StartedAtMs;
+  const bool older =
+      StartedAtMs && report.StartedAtMs && *report.StartedAtMs < *StartedAtMs;
   if (older) {
     return Reason{ErrorCode::Conflict, "a newer start is known"};
   }
@@ -62,7 +62,8 @@
   Suspect = false;
   SilentCalls = 0;
   ColdUntil = Loop.now() + report.ColdFor;
-  const bool changed = back || !sameStart || Server.Phase != report.State.Phase ||
+  const bool changed = back || !sameStart ||
+                       Server.Phase != report.State.Phase ||
                        Server.Slots != report.State.Slots ||
                        Server.Version != report.State.Version;
   Server = report.State;
@@ -143,8 +144,7 @@
       (!call.Instance.empty() && call.Instance != Server.Instance)) {
     return ErrorCode::NotFound;
   }
-  if (!Gate.isOpen() ||
-      Versions.share(Server.Service, Server.Version) == 0) {
+  if (!Gate.isOpen() || Versions.share(Server.Service, Server.Version) == 0) {
     return ErrorCode::NotReady;
   }
   return ErrorCode::Ok;
@@ -270,9 +270,9 @@
     return;
   }
   Suspect = true;
-  Lines.warn("the server does not answer",
-             {{"instance", Server.Instance},
-              {"calls", std::uint64_t{SilentCalls}}});
+  Lines.warn(
+      "the server does not answer",
+      {{"instance", Server.Instance}, {"calls", std::uint64_t{SilentCalls}}});
   updateGate();
   Changed();
 }
@@ -287,8 +287,8 @@
   auto &counts = Counts[call.Message.Route];
   counts.PathPrefix = call.Message.Route;
   ++counts.Calls;
-  const bool failed = result.Result == Outcome::Unknown ||
-                      result.Status >= FirstServerError;
+  const bool failed =
+      result.Result == Outcome::Unknown || result.Status >= FirstServerError;
   counts.Errors += failed ? 1 : 0;
   const auto us = static_cast<std::uint64_t>(latency.count()) /
                   (call.WasCold ? ColdSlowdown : 1);
--- a/src/sidecar/fleet_service.cpp
+++ b/src/sidecar/fleet_service.cpp
@@ -107,9 +107,9 @@
 
 void FleetService::retryStore(const Reason &reason) {
   constexpr std::uint32_t maxDoublings = 3;
-  const auto pause = std::min(
-      MinStorePause * (1 << std::min(StoreFailures, maxDoublings)),
-      MaxStorePause);
+  const auto pause =
+      std::min(MinStorePause * (1 << std::min(StoreFailures, maxDoublings)),
+               MaxStorePause);
   ++StoreFailures;
   Lines.warn("the store did not take the registration",
              {{"error", errorName(reason.Code)},
--- a/src/sidecar/order_feed.cpp
+++ b/src/sidecar/order_feed.cpp
@@ -82,17 +82,15 @@
 
 void OrderFeed::report(const OperatorChange &change) {
   if (change.Ignored.Code != ErrorCode::Ok) {
-    Lines.warn("ignored a record",
-               {{"error", errorName(change.Ignored.Code)},
-                {"reason", change.Ignored.Message}});
+    Lines.warn("ignored a record", {{"error", errorName(change.Ignored.Code)},
+                                    {"reason", change.Ignored.Message}});
   }
   if (!change.any()) {
     return;
   }
   Lines.info("orders changed",
-             {{"version", State.routes()
-                              ? State.routes()->configuration().Version
-                              : 0},
+             {{"version",
+               State.routes() ? State.routes()->configuration().Version : 0},
               {"end", State.end()},
               {"rollouts", State.rollouts().size()},
               {"evacuated", State.evacuated().size()},
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -71,10 +71,10 @@
   HttpResponse out;
   out.Status = status;
   std::array<char, 32> buf{};
-  std::snprintf(buf.data(), buf.size(), "%.3f",
-                static_cast<double>(std::max<Duration::rep>(
-                    retryAfter.count(), 1000)) /
-                    1e6);
+  std::snprintf(
+      buf.data(), buf.size(), "%.3f",
+      static_cast<double>(std::max<Duration::rep>(retryAfter.count(), 1000)) /
+          1e6);
   out.Headers.push_back({"Retry-After", buf.data()});
   return out;
 }
@@ -83,12 +83,12 @@
                                   const ClientRequest &client) {
   const auto &routes = Parts.Orders.routes();
   const int status = !routes ? 503 : client.Hostname.empty() ? 400 : 404;
-  Lines.info("no route", {{"request", client.Id},
-                          {"status", static_cast<std::uint64_t>(status)},
-                          {"host", client.Hostname},
-                          {"path", exchange->request().Path},
-                          {"version", routes ? routes->configuration().Version
-                                             : 0}});
+  Lines.info("no route",
+             {{"request", client.Id},
+              {"status", static_cast<std::uint64_t>(status)},
+              {"host", client.Hostname},
+              {"path", exchange->request().Path},
+              {"version", routes ? routes->configuration().Version : 0}});
   if (status == 503) {
     return exchange->respond(refusal(status, DefaultRetryAfter));
   }
@@ -180,8 +180,8 @@
   wanted.Tried = &request->Tried;
   const auto choice = Parts.Servers.choose(wanted, now);
   if (!choice.Peer) {
-    CallResult none =
-        failedCall(Outcome::NotRun, ErrorCode::NotFound, 503, choice.RetryAfter);
+    CallResult none = failedCall(Outcome::NotRun, ErrorCode::NotFound, 503,
+                                 choice.RetryAfter);
     return decide(request, std::move(none), AttemptEnd::NoServer);
   }
   sendTo(request, choice);
@@ -261,8 +261,7 @@
   switch (end) {
   case AttemptEnd::Answered:
     tokens(request.Call.Service).earn();
-    servers.answered(request.Peer, request.Route->Name,
-                     now - request.AttemptAt,
+    servers.answered(request.Peer, request.Route->Name, now - request.AttemptAt,
                      request.Call.Body.size() + result.Body.size(),
                      result.Status >= 500, result.Gate, now);
     break;
@@ -307,9 +306,10 @@
                 {"again", step == NextStep::TryAgain ? "yes" : "no"}});
   }
   if (end == AttemptEnd::RefusedByGate || end == AttemptEnd::NoServer) {
-    request->RetryAfter = request->RetryAfter == Duration::zero()
-                              ? result.RetryAfter
-                              : std::min(request->RetryAfter, result.RetryAfter);
+    request->RetryAfter =
+        request->RetryAfter == Duration::zero()
+            ? result.RetryAfter
+            : std::min(request->RetryAfter, result.RetryAfter);
   }
   switch (step) {
   case NextStep::TryAgain:
@@ -423,8 +423,7 @@
                 {"status", static_cast<std::uint64_t>(response.Status)},
                 {"attempts", std::uint64_t{request->Attempts}},
                 {"held_ms", toMs(held)},
-                {"version",
-                 request->Table->configuration().Version}});
+                {"version", request->Table->configuration().Version}});
   }
   request->Exchange->respond(std::move(response));
   Open.erase(request.get());
--- a/src/sidecar/rollout_service.cpp
+++ b/src/sidecar/rollout_service.cpp
@@ -110,41 +110,40 @@
     return;
   }
   Listing = true;
-  Parts.Store.list(
-      KeyedStream::Rollouts, "", Loop.now() + StoreTimeout,
-      [this](const Result<KeyedBatch> &batch) {
-        Listing = false;
-        if (!batch) {
-          ++StoreFailures;
-          const auto pause = std::min<Duration>(
-              TickInterval * std::min(StoreFailures, 4U), MaxStorePause);
-          if (!StreamEnd) {
-            Loop.schedule(Loop.now() + pause, [this] { list(); });
-          }
-          return;
-        }
-        StoreFailures = 0;
-        StreamEnd = std::max(StreamEnd.value_or(0), batch->End);
-        for (const auto &it : batch->Records) {
-          if (const auto progress = decode(it)) {
-            auto &place = Confirmed[progress->Service];
-            place = std::max(place, progress->Offset);
-            take(*progress);
-          }
-        }
-      });
+  Parts.Store.list(KeyedStream::Rollouts, "", Loop.now() + StoreTimeout,
+                   [this](const Result<KeyedBatch> &batch) {
+                     Listing = false;
+                     if (!batch) {
+                       ++StoreFailures;
+                       const auto pause = std::min<Duration>(
+                           TickInterval * std::min(StoreFailures, 4U),
+                           MaxStorePause);
+                       if (!StreamEnd) {
+                         Loop.schedule(Loop.now() + pause, [this] { list(); });
+                       }
+                       return;
+                     }
+                     StoreFailures = 0;
+                     StreamEnd = std::max(StreamEnd.value_or(0), batch->End);
+                     for (const auto &it : batch->Records) {
+                       if (const auto progress = decode(it)) {
+                         auto &place = Confirmed[progress->Service];
+                         place = std::max(place, progress->Offset);
+                         take(*progress);
+                       }
+                     }
+                   });
 }
 
 bool RolloutService::take(const RolloutProgress &progress) {
   if (!Parts.Versions.apply(progress)) {
     return false;
   }
-  Lines.info("progress",
-             {{"service", progress.Service},
-              {"target", progress.TargetVersion},
-              {"phase", rolloutPhaseName(progress.Phase)},
-              {"share", std::uint64_t{progress.ShareBasisPoints}},
-              {"offset", progress.Offset}});
+  Lines.info("progress", {{"service", progress.Service},
+                          {"target", progress.TargetVersion},
+                          {"phase", rolloutPhaseName(progress.Phase)},
+                          {"share", std::uint64_t{progress.ShareBasisPoints}},
+                          {"offset", progress.Offset}});
   Changed();
   return true;
 }
@@ -176,12 +175,11 @@
     return hash64(toString(peer) + "/" + service);
   };
   const auto own = rank(Self);
-  return std::none_of(
-      Parts.Fleet.hosts().begin(), Parts.Fleet.hosts().end(),
-      [&](const auto &it) {
-        return it.first != Self && it.second.reachable() &&
-               !it.second.State.Leaving && rank(it.first) < own;
-      });
+  return std::none_of(Parts.Fleet.hosts().begin(), Parts.Fleet.hosts().end(),
+                      [&](const auto &it) {
+                        return it.first != Self && it.second.reachable() &&
+                               !it.second.State.Leaving && rank(it.first) < own;
+                      });
 }
 
 void RolloutService::tick() {
@@ -216,8 +214,8 @@
     return write(firstProgress(order));
   }
   const auto confirmed = Confirmed.find(order.Service);
-  const bool written = confirmed != Confirmed.end() &&
-                       confirmed->second >= known->Offset;
+  const bool written =
+      confirmed != Confirmed.end() && confirmed->second >= known->Offset;
   if (!written && isFinal(known->Phase)) {
     return write(*known);
   }
@@ -343,14 +341,14 @@
   } else if (decision.Action == RolloutAction::RollBack) {
     next.Phase = RolloutPhase::RolledBack;
   }
-  Lines.info("decided",
-             {{"service", order.Service},
-              {"target", order.TargetVersion},
-              {"action", rolloutActionName(decision.Action)},
-              {"share", std::uint64_t{next.ShareBasisPoints}},
-              {"elapsed_ms",
-               static_cast<std::uint64_t>(next.Elapsed.count() / 1000)},
-              {"evidence", decision.Evidence}});
+  Lines.info(
+      "decided",
+      {{"service", order.Service},
+       {"target", order.TargetVersion},
+       {"action", rolloutActionName(decision.Action)},
+       {"share", std::uint64_t{next.ShareBasisPoints}},
+       {"elapsed_ms", static_cast<std::uint64_t>(next.Elapsed.count() / 1000)},
+       {"evidence", decision.Evidence}});
   if (decision.Action == RolloutAction::RollBack) {
     // Taking traffic away is always safe: it counts before it is written.
     next.Offset = known.Offset + 1;
@@ -389,10 +387,9 @@
           return spread();
         }
         ++StoreFailures;
-        Lines.warn("a step was not written",
-                   {{"service", progress.Service},
-                    {"error", errorName(reason.Code)},
-                    {"reason", reason.Message}});
+        Lines.warn("a step was not written", {{"service", progress.Service},
+                                              {"error", errorName(reason.Code)},
+                                              {"reason", reason.Message}});
         NextWrite = Loop.now() + std::min<Duration>(
                                      TickInterval * std::min(StoreFailures, 4U),
                                      MaxStorePause);
@@ -429,8 +426,7 @@
         ++StoreFailures;
         NextWrite = Loop.now() + TickInterval;
         Lines.warn("the status was not written",
-                   {{"service", progress.Service},
-                    {"reason", reason.Message}});
+                   {{"service", progress.Service}, {"reason", reason.Message}});
       });
 }
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -133,8 +133,8 @@
 }
 
 bool Sidecar::Parts::isReady() const {
-  const bool knowsPeers = Hosts.hosts().size() > 1 ||
-                          Loop.now() >= StartedAt + LonelyReadiness;
+  const bool knowsPeers =
+      Hosts.hosts().size() > 1 || Loop.now() >= StartedAt + LonelyReadiness;
   return !Leaving && Orders.routes() != nullptr && knowsPeers;
 }
 
@@ -221,27 +221,24 @@
 
 void Sidecar::Parts::onReport(const std::shared_ptr<HttpExchange> &exchange) {
   const auto report = Ports.Reports.report(exchange->request());
-  const auto taken =
-      report ? Backend.report(*report) : Status(report.reason());
+  const auto taken = report ? Backend.report(*report) : Status(report.reason());
   if (!taken) {
-    Lines.info("ignored a report",
-               {{"path", exchange->request().Path},
-                {"error", errorName(taken.reason().Code)},
-                {"reason", taken.reason().Message}});
+    Lines.info("ignored a report", {{"path", exchange->request().Path},
+                                    {"error", errorName(taken.reason().Code)},
+                                    {"reason", taken.reason().Message}});
   }
   // A stale report was received all the same; one that cannot be read was not.
   const bool readable = report.hasValue();
-  exchange->respond({readable ? 200 : 400,
-                     {{"Content-Type", "application/json"}},
-                     "{}"});
+  exchange->respond(
+      {readable ? 200 : 400, {{"Content-Type", "application/json"}}, "{}"});
 }
 
 void Sidecar::Parts::onLeave(const std::shared_ptr<HttpExchange> &exchange) {
   const auto instance = Ports.Reports.leaving(exchange->request());
   const auto taken = Backend.leave(instance);
   if (!taken) {
-    Lines.info("ignored a departure", {{"instance", instance},
-                                       {"reason", taken.reason().Message}});
+    Lines.info("ignored a departure",
+               {{"instance", instance}, {"reason", taken.reason().Message}});
   }
   exchange->respond({200, {{"Content-Type", "application/json"}}, "{}"});
 }
@@ -255,8 +252,8 @@
     CallerServer.quiesce();
     Proxy.startLeaving();
   }
-  const auto open = Proxy.openRequests() + Backend.openCalls() +
-                    CallerServer.openRequests();
+  const auto open =
+      Proxy.openRequests() + Backend.openCalls() + CallerServer.openRequests();
   if ((open == 0 && now >= earliest) || now >= latest) {
     Lines.info("stopped", {{"open_requests", open}});
     Loop.stop();
@@ -275,9 +272,9 @@
 Sidecar::~Sidecar() = default;
 
 Status Sidecar::start() {
-  for (auto &started : {All->Network.start(), All->AdminServer.start(),
-                        All->ReadinessServer.start(),
-                        All->CallerServer.start()}) {
+  for (auto &started :
+       {All->Network.start(), All->AdminServer.start(),
+        All->ReadinessServer.start(), All->CallerServer.start()}) {
     if (!started) {
       return started.reason();
     }
@@ -307,9 +304,8 @@
   }
   All->Leaving = true;
   ++All->Sequence;
-  All->Lines.info("stopping",
-                  {{"open_requests", All->Proxy.openRequests()},
-                   {"open_calls", All->Backend.openCalls()}});
+  All->Lines.info("stopping", {{"open_requests", All->Proxy.openRequests()},
+                               {"open_calls", All->Backend.openCalls()}});
   All->Rollouts.stop();
   All->Backend.startLeaving();
   All->Fleet.announce();
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -22,9 +22,9 @@
 std::string environmentName(const std::string &flag) {
   std::string out = "CHIVEFOLD_";
   for (const char c : flag) {
-    out += c == '-' ? '_'
-                    : static_cast<char>(
-                          std::toupper(static_cast<unsigned char>(c)));
+    out += c == '-'
+               ? '_'
+               : static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
   }
   return out;
 }
--- /dev/null
+++ b/tests/unit/backend_service_test.cpp
@@ -0,0 +1,114 @@
+#include "chivefold/sidecar/backend_service.h"
+
+#include "raw_socket.h"
+#include "record_codec.h"
+#include "request_headers.h"
+
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace chivefold;
+
+namespace {
+
+struct BackendFixture {
+  const platform::RequestHeaders Requests;
+  const platform::ServerReports Reports;
+  const platform::OperatorRecords Records;
+  const platform::RolloutStatuses Statuses;
+  const PlatformPorts Ports{Requests, Reports, Records, Statuses};
+  Reactor Loop;
+  HttpClient Client{Loop, 4};
+  OperatorState Orders{Records};
+  VersionPolicy Versions{Orders};
+  RawSocket Listener = RawSocket::listening();
+  BackendService Backend{
+      Loop, Client, Ports, Orders, Versions, Listener.address(), "z", [] {}};
+
+  ServerReport report(const std::string &instance, std::int64_t startedAt,
+                      std::uint64_t sequence,
+                      ServerPhase phase = ServerPhase::Ready) const {
+    ServerReport out;
+    out.Server = Listener.address();
+    out.State = {instance, "s", "v1", 4, phase};
+    out.StartedAtMs = startedAt;
+    out.Sequence = sequence;
+    return out;
+  }
+
+  void configure() {
+    Orders.apply({"config",
+                  R"({"version":"r1","routes":[],"services":[{"name":"s",
+                      "maxConnections":100,"warmupRpsS":2}]})",
+                  0});
+    Backend.ordersChanged();
+  }
+
+  CallMessage call() const {
+    CallMessage out;
+    out.Service = "s";
+    out.Method = "POST";
+    out.Target = "/x";
+    out.RequestId = "q";
+    out.Deadline = Loop.now() + std::chrono::seconds(10);
+    return out;
+  }
+};
+
+} // namespace
+
+// Guards against a cold server that is sent its full load because its report
+// came before the configuration, which states what it bears.
+TEST_CASE("a cold start before the configuration counts", "[backend]") {
+  BackendFixture f;
+  auto report = f.report("i", 1, 1);
+  report.ColdFor = std::chrono::seconds(100);
+  REQUIRE(f.Backend.report(report));
+  CHECK(f.Backend.gate().Limit == 0);
+  f.configure();
+  CHECK(f.Backend.gate().Limit > 0);
+  CHECK(f.Backend.gate().Cold);
+}
+
+// Guards against a late report of a server that ended, or of an earlier start
+// under the same identity, that replaces the present server.
+TEST_CASE("late reports of earlier starts are ignored", "[backend]") {
+  BackendFixture f;
+  f.configure();
+  REQUIRE(f.Backend.report(f.report("old", 10, 5)));
+  REQUIRE(f.Backend.report(f.report("new", 20, 1)));
+  CHECK_FALSE(f.Backend.report(f.report("old", 10, 6)));
+  CHECK(f.Backend.server().Instance == "new");
+  REQUIRE(f.Backend.report(f.report("new", 30, 1)));
+  CHECK_FALSE(f.Backend.report(f.report("new", 20, 9)));
+  REQUIRE(f.Backend.report(f.report("new", 30, 3, ServerPhase::Draining)));
+  CHECK_FALSE(f.Backend.report(f.report("new", 30, 2)));
+  CHECK(f.Backend.server().Phase == ServerPhase::Draining);
+  CHECK(f.Backend.gate().Limit == 0);
+  REQUIRE(f.Backend.leave("new"));
+  CHECK_FALSE(f.Backend.report(f.report("new", 30, 4)));
+}
+
+// Guards against "not run" for work that reached the server, and against work
+// that is sent to another start than the one that was chosen.
+TEST_CASE("a lost answer is unknown", "[backend]") {
+  BackendFixture f;
+  f.configure();
+  REQUIRE(f.Backend.report(f.report("i", 1, 1)));
+  std::optional<CallResult> result;
+  auto other = f.call();
+  other.Instance = "gone";
+  f.Backend.run(other, [&](CallResult r) { result = std::move(r); });
+  REQUIRE(result.has_value());
+  CHECK(result->Result == Outcome::NotRun);
+
+  result.reset();
+  std::thread server([&] {
+    const auto s = f.Listener.accepted();
+    s.readUntil("\r\n\r\n");
+  });
+  f.Backend.run(f.call(), [&](CallResult r) { result = std::move(r); });
+  REQUIRE(runUntil(f.Loop, [&] { return result.has_value(); }));
+  server.join();
+  CHECK(result->Result == Outcome::Unknown);
+}
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -105,10 +105,9 @@
   CHECK_FALSE(out.MayHaveRun);
 }
 
-// Guards against libcurl's own repetition of a request whose reused connection
-// was closed: the second connection receives the request again unless the call
-// asks for a fresh connection.
-TEST_CASE("a fresh connection sends a request once", "[http_client]") {
+// Guards against a client that repeats a request by itself when a reused
+// connection turns out to be closed: the work could run twice.
+TEST_CASE("a request is sent once", "[http_client]") {
   for (const bool fresh : {true, false}) {
     ClientFixture f;
     std::atomic<int> arrived{0};
@@ -116,7 +115,7 @@
       arrived += s.readUntil("work").empty() ? 0 : 1;
     };
     // The first connection answers one request and stays open for reuse; any
-    // further request on it or on the second connection is read, and the
+    // further request on it or on another connection is read, and the
     // connection is closed without a response.
     std::thread server([&] {
       auto s = f.Listener.accepted();
@@ -126,7 +125,13 @@
         receive(s);
         s.reset();
       });
-      receive(f.Listener.accepted());
+      for (;;) {
+        const auto next = f.Listener.accepted();
+        if (!next.isOpen()) {
+          break;
+        }
+        receive(next);
+      }
       reused.join();
     });
     REQUIRE(f.finish(f.call()).Response);
@@ -134,11 +139,68 @@
     CHECK(out.Response.reason().Code == ErrorCode::ConnectionFailed);
     CHECK(out.MayHaveRun);
     f.Client.reset();
+    f.Listener.shutDown();
     server.join();
-    CHECK(arrived == (fresh ? 2 : 3));
+    CHECK(arrived == 2);
   }
 }
 
+// Guards against a connection that the server may have closed while it was
+// idle, and against one that is used beyond the time that the server states.
+TEST_CASE("an idle connection is reused while it is fresh", "[http_client]") {
+  ClientFixture f;
+  std::atomic<int> connections{0};
+  std::vector<std::thread> served;
+  std::thread server([&] {
+    for (;;) {
+      auto s = std::make_shared<RawSocket>(f.Listener.accepted());
+      if (!s->isOpen()) {
+        return;
+      }
+      ++connections;
+      served.emplace_back([s] {
+        while (!s->readUntil("work").empty()) {
+          s->write("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\n"
+                   "Content-Length: 2\r\n\r\nok");
+        }
+      });
+    }
+  });
+  REQUIRE(f.finish(f.call()).Response);
+  REQUIRE(f.finish(f.call()).Response);
+  CHECK(connections == 2);
+  f.Client.reset();
+  f.Listener.shutDown();
+  server.join();
+  for (auto &it : served) {
+    it.join();
+  }
+}
+
+// Guards against the late answer to an earlier request that is taken for the
+// answer to this one, and against an unframed answer that is refused or taken
+// although it was reset.
+TEST_CASE("answers are matched and may be unframed", "[http_client]") {
+  ClientFixture f;
+  auto call = f.call();
+  call.AcceptUnframed = true;
+  call.Accepts = [](const HttpResponse &r) {
+    return headerValue(r.Headers, "Id") != "other";
+  };
+  std::optional<HttpOutcome> out;
+  std::thread server([&] {
+    const auto s = f.Listener.accepted();
+    s.readUntil("work");
+    s.write("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 4\r\n\r\nlate"
+            "HTTP/1.1 200 OK\r\nId: mine\r\n\r\nwhole");
+  });
+  f.Client->start(std::move(call), [&](HttpOutcome o) { out = std::move(o); });
+  REQUIRE(runUntil(f.Loop, [&] { return out.has_value(); }));
+  server.join();
+  REQUIRE(out->Response);
+  CHECK(out->Response->Body == "whole");
+}
+
 // Guards against more connections to a backend server than it bears: idle ones
 // count too, also beside calls that need a fresh connection.
 TEST_CASE("idle connections count against the bound", "[http_client]") {
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -119,3 +119,78 @@
   CHECK(all.find("\r\n\r\ndone") != std::string::npos);
   CHECK(all.find("HTTP/1.1 503") != std::string::npos);
 }
+
+// Guards against answers out of order on one connection, and against requests
+// behind another that wait until it is answered.
+TEST_CASE("pipelined requests are answered in order", "[http_server]") {
+  ServerFixture f;
+  f.Hold = true;
+  const auto s = RawSocket::connectTo(f.Server.bound());
+  s.write("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
+          "GET /2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  REQUIRE(runUntil(f.Loop, [&] { return f.Held.size() == 2; }));
+  f.Held[1]->respond({200, {}, "second"});
+  f.Held[0]->respond({200, {}, "first"});
+  f.Held.clear();
+  CHECK(runUntil(f.Loop, [&] { return f.Server.openRequests() == 0; }));
+  const auto all = s.readAll();
+  CHECK(all.find("first") < all.find("second"));
+  CHECK(all.find("second") != std::string::npos);
+}
+
+// Guards against a request that is hidden in the body of another: the two ends
+// must agree where a body ends.
+TEST_CASE("ambiguous framing is refused unhandled", "[http_server]") {
+  ServerFixture f;
+  for (const auto *headers :
+       {"Content-Length: 3\r\nContent-Length: 4\r\n",
+        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+        "Transfer-Encoding: gzip\r\n", "Content-Length: -1\r\n"}) {
+    INFO(headers);
+    CHECK(f.exchange(post(headers, "0\r\n\r\n")).find("HTTP/1.1 400") == 0);
+  }
+  CHECK(f.Handled == 0);
+}
+
+// Guards against a body over the limit that arrives with its headers: the
+// parser forgets that error when it reads on.
+TEST_CASE("a body over a changed limit is refused", "[http_server]") {
+  ServerFixture f;
+  HttpServerLimits limits;
+  limits.MaxBodyBytes = 3;
+  f.Server.setLimits(limits);
+  CHECK(
+      f.exchange(post("Content-Length: 4\r\n", "body")).find("HTTP/1.1 413") ==
+      0);
+  CHECK(f.exchange(post("Content-Length: 3\r\n", "bod")).find("HTTP/1.1 200") ==
+        0);
+}
+
+// Guards against a caller that never ends its headers.
+TEST_CASE("slow headers time out", "[http_server]") {
+  ServerFixture f;
+  HttpServerLimits limits;
+  limits.HeaderTimeout = std::chrono::milliseconds(50);
+  f.Server.setLimits(limits);
+  CHECK(f.exchange("GET / HTTP/1.1\r\nHost:").find("HTTP/1.1 408") == 0);
+}
+
+// Guards against a planned stop that closes a connection on which a request was
+// read and not answered.
+TEST_CASE("the last answer closes the connection", "[http_server]") {
+  ServerFixture f;
+  f.Hold = true;
+  const auto s = RawSocket::connectTo(f.Server.bound());
+  s.write("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
+          "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(runUntil(f.Loop, [&] { return f.Held.size() == 2; }));
+  f.Server.closeAfterAnswers();
+  f.Held[0]->respond({200, {}, "first"});
+  f.Held[1]->respond({200, {}, "second"});
+  f.Held.clear();
+  CHECK(runUntil(f.Loop, [&] { return f.Server.openRequests() == 0; }));
+  const auto all = s.readAll();
+  CHECK(all.find("second") != std::string::npos);
+  CHECK(all.find("Connection: close") > all.find("first"));
+}
--- /dev/null
+++ b/tests/unit/mesh_state_test.cpp
@@ -0,0 +1,203 @@
+#include "chivefold/mesh/attempt_policy.h"
+#include "chivefold/mesh/fleet_table.h"
+#include "chivefold/mesh/rollout_driver.h"
+#include "chivefold/mesh/version_policy.h"
+#include "record_codec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace chivefold;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint at(std::int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+std::string configuration(int version, const std::string &routes) {
+  return R"({"version":"r)" + std::to_string(version) + R"(","routes":[)" +
+         routes +
+         R"(],"services":[{"name":"s","maxConnections":120,"warmupRpsS":19.0}],
+         "limits":{"maxBodyBytes":1000}})";
+}
+
+std::string route(const std::string &prefix) {
+  return R"({"name":"n)" + prefix +
+         R"(","hostname":"h.example","pathPrefix":")" + prefix +
+         R"(","routeType":"safe","timeoutMs":500,"service":"s","maxAttempts":2})";
+}
+
+const platform::OperatorRecords Codec;
+
+RolloutProgress progress(RolloutPhase phase, std::uint32_t share,
+                         std::uint64_t offset) {
+  RolloutProgress out;
+  out.Service = "s";
+  out.TargetVersion = "v2";
+  out.OrderOffset = 3;
+  out.Phase = phase;
+  out.ShareBasisPoints = share;
+  out.Offset = offset;
+  return out;
+}
+
+} // namespace
+
+// Guards against a request that goes to a shorter prefix, another host or a
+// route of a similar name.
+TEST_CASE("the longest prefix of the host wins", "[mesh]") {
+  OperatorState state(Codec);
+  const auto change = state.apply(
+      {"config", configuration(7, route("/a/") + "," + route("/a/b/")), 0});
+  CHECK(change.Configuration);
+  const auto &routes = *state.routes();
+  CHECK(routes.find("H.example:80", "/a/b/c")->PathPrefix == "/a/b/");
+  CHECK(routes.find("h.example", "/a/bc")->PathPrefix == "/a/");
+  CHECK(routes.find("h.example", "/ab") == nullptr);
+  CHECK(routes.find("other", "/a/") == nullptr);
+  CHECK(routes.configuration().Limits.MaxBodyBytes == 1000);
+}
+
+// Guards against a configuration that goes back when a stale or repeated read
+// arrives, and against one that is applied in part.
+TEST_CASE("orders never go back", "[mesh]") {
+  OperatorState state(Codec);
+  state.apply({"config", configuration(9, route("/new/")), 4});
+  CHECK_FALSE(state.apply({"config", configuration(8, route("/old/")), 5})
+                  .Configuration);
+  CHECK_FALSE(
+      state.apply({"config", configuration(11, "{}"), 6}).Configuration);
+  CHECK(state.routes()->configuration().Version == 9);
+  CHECK(state.apply({"evacuate/z", "{}", 7}).Evacuations);
+  CHECK(state.isEvacuated("z"));
+  CHECK_FALSE(state.apply({"evacuate/z", std::nullopt, 2}).any());
+  // A listing without the key, read behind its record, ends the order.
+  CHECK(state.applyListing({}, 8).Evacuations);
+  CHECK_FALSE(state.isEvacuated("z"));
+  CHECK(state.routes()->configuration().Version == 9);
+}
+
+// Guards against requests at a version before its share is agreed, after it was
+// taken back, and at the old one after completion.
+TEST_CASE("versions get their agreed shares", "[mesh]") {
+  OperatorState state(Codec);
+  VersionPolicy versions(state);
+  versions.saw("s", "v1");
+  CHECK(versions.share("s", "v1") == FullShare);
+  CHECK(versions.share("s", "v2") == 0);
+  state.apply({"rollout/s", R"({"targetVersion":"v2","durationS":12})", 3});
+  CHECK(versions.share("s", "v2") == 0);
+  CHECK(versions.apply(progress(RolloutPhase::Running, 500, 1)));
+  CHECK(versions.share("s", "v2") == 500);
+  CHECK(versions.share("s", "v1") == 9500);
+  CHECK(versions.split("s")->Target == "v2");
+  CHECK(versions.apply(progress(RolloutPhase::RolledBack, 0, 2)));
+  CHECK_FALSE(versions.apply(progress(RolloutPhase::Running, 1000, 1)));
+  CHECK(versions.share("s", "v2") == 0);
+  CHECK(versions.share("s", "v1") == FullShare);
+  CHECK(versions.apply(progress(RolloutPhase::Completed, FullShare, 3)));
+  CHECK(versions.share("s", "v1") == 0);
+}
+
+// Guards against a second run of work that may run at most once, and against a
+// refusal that says "not run" after it may have run.
+TEST_CASE("work that may have run is not repeated", "[mesh]") {
+  RetryTokens tokens(at(0));
+  AttemptFacts facts;
+  facts.Kind = RequestKind::AtMostOnce;
+  facts.MaxRuns = 2;
+  facts.Attempts = 1;
+  facts.TimeLeft = milliseconds(500);
+  facts.Expected = milliseconds(50);
+  facts.Runs = 1;
+  facts.End = AttemptEnd::Lost;
+  CHECK(AttemptPolicy::next(facts, tokens, at(0)) == NextStep::ReportUnknown);
+  facts.End = AttemptEnd::Answered;
+  facts.Status = 500;
+  CHECK(AttemptPolicy::next(facts, tokens, at(0)) == NextStep::Deliver);
+  facts.Runs = 0;
+  facts.End = AttemptEnd::DeclinedByServer;
+  CHECK(AttemptPolicy::next(facts, tokens, at(0)) == NextStep::TryAgain);
+  facts.TimeLeft = milliseconds(10);
+  CHECK(AttemptPolicy::next(facts, tokens, at(0)) == NextStep::RefuseNotRun);
+  facts.Kind = RequestKind::Idempotent;
+  facts.Runs = 1;
+  CHECK(AttemptPolicy::next(facts, tokens, at(0)) == NextStep::ReportUnknown);
+}
+
+// Guards against an old state of a host that replaces a newer one, and against
+// a restarted host that is taken for its predecessor.
+TEST_CASE("a host's own newest word counts", "[mesh]") {
+  FleetTable fleet(1);
+  HostState host;
+  host.Peer = {"10.0.0.1", 7000};
+  host.BootId = 5;
+  host.Sequence = 2;
+  host.Server.Phase = ServerPhase::Draining;
+  CHECK(fleet.update(host, at(0)));
+  host.Sequence = 1;
+  host.Server.Phase = ServerPhase::Ready;
+  CHECK_FALSE(fleet.update(host, at(1)));
+  CHECK(fleet.find(host.Peer)->State.Server.Phase == ServerPhase::Draining);
+  host.BootId = 6;
+  host.Sequence = 0;
+  CHECK(fleet.update(host, at(2)));
+  CHECK(fleet.find(host.Peer)->State.Server.Phase == ServerPhase::Ready);
+}
+
+// Guards against a host that is given up after it failed: it is contacted again
+// at least every two seconds, so that its return is noticed.
+TEST_CASE("lost hosts are tried again", "[mesh]") {
+  FleetTable fleet(1);
+  const Address peer{"10.0.0.1", 7000};
+  REQUIRE(fleet.addAddress(peer, at(0)));
+  TimePoint last = at(0);
+  for (std::int64_t ms = 0; ms < 20'000; ms += 100) {
+    if (!fleet.toProbe(at(ms)).empty()) {
+      fleet.failed(peer, at(ms));
+      CHECK(at(ms) - last <= milliseconds(2100));
+      last = at(ms);
+    }
+  }
+  CHECK(at(20'000) - last <= milliseconds(2100));
+}
+
+// Guards against a bad version that keeps its share, and against a good one
+// that is not finished within its time.
+TEST_CASE("a rollout ends by its evidence", "[mesh]") {
+  for (const bool bad : {false, true}) {
+    RolloutDriver driver(quickRolloutSettings());
+    RolloutView view;
+    view.OrderedAt = at(0);
+    view.TimeAllowed = std::chrono::seconds(16);
+    view.AbleServers = 4;
+    KindCounts oldCounts;
+    KindCounts newCounts;
+    RolloutAction end = RolloutAction::None;
+    std::int64_t ms = 0;
+    double exposed = 0;
+    for (; ms < 16'000 && end == RolloutAction::None; ms += 300) {
+      const double share = view.ShareBasisPoints / 1e4;
+      const auto calls = static_cast<std::uint64_t>(80 * share);
+      newCounts.Calls += calls;
+      exposed += static_cast<double>(calls);
+      newCounts.Errors += bad ? calls / 2 : 0;
+      newCounts.LatencySumUs += calls * 200'000;
+      newCounts.LatencySquareSumMs2 += static_cast<double>(calls) * 50'000;
+      oldCounts.Calls += 80 - calls;
+      oldCounts.LatencySumUs += (80 - calls) * 200'000;
+      oldCounts.LatencySquareSumMs2 += static_cast<double>(80 - calls) * 50'000;
+      view.OldCounts = {oldCounts};
+      view.NewCounts = {newCounts};
+      const auto decision = driver.tick(at(ms), view);
+      if (decision.Action == RolloutAction::SetShare) {
+        view.ShareBasisPoints = decision.ShareBasisPoints;
+      } else {
+        end = decision.Action;
+      }
+    }
+    INFO("bad: " << bad << ", exposed: " << exposed << ", ended at " << ms);
+    CHECK(end == (bad ? RolloutAction::RollBack : RolloutAction::Complete));
+    CHECK((!bad || exposed < 50));
+  }
+}
--- /dev/null
+++ b/tests/unit/slot_gate_test.cpp
@@ -0,0 +1,97 @@
+#include "chivefold/mesh/slot_gate.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace chivefold;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint at(std::int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+SlotWork work(std::uint64_t id, std::uint32_t priority = 1,
+              std::int64_t deadlineMs = 100'000) {
+  return {GateRequestId{id}, priority, at(deadlineMs), "r"};
+}
+
+} // namespace
+
+// Guards against a server that gets more than its slots: some never answer what
+// they cannot queue.
+TEST_CASE("concurrency stays within the slots", "[slot_gate]") {
+  SlotGate gate;
+  CHECK(gate.offer(work(1), at(0)).Kind == Admitted::Rejected);
+  gate.open(2, 0);
+  CHECK(gate.offer(work(1), at(0)).Kind == Admitted::Run);
+  CHECK(gate.offer(work(2), at(0)).Kind == Admitted::Run);
+  CHECK(gate.offer(work(3), at(0)).Kind == Admitted::Queued);
+  CHECK(gate.start(at(1)).empty());
+  gate.finished(GateRequestId{1}, milliseconds(10));
+  CHECK(gate.start(at(2)) == std::vector<GateRequestId>{GateRequestId{3}});
+  CHECK(gate.state(at(2)).InFlight == 2);
+}
+
+// Guards against less urgent work that is served before urgent work.
+TEST_CASE("urgent work goes first", "[slot_gate]") {
+  SlotGate gate;
+  gate.open(1, 0);
+  gate.offer(work(1), at(0));
+  gate.offer(work(2, 2), at(0));
+  gate.offer(work(3, 0), at(1));
+  gate.offer(work(4, 0), at(2));
+  std::vector<std::uint64_t> order;
+  for (std::uint64_t running = 1; running != 2;) {
+    gate.finished(GateRequestId{running}, milliseconds(10));
+    const auto next = gate.start(at(10));
+    REQUIRE(next.size() == 1);
+    running = static_cast<std::uint64_t>(next.front());
+    order.push_back(running);
+  }
+  CHECK(order == std::vector<std::uint64_t>{3, 4, 2});
+}
+
+// Guards against work that waits although it cannot end in time.
+TEST_CASE("hopeless work is refused at once", "[slot_gate]") {
+  SlotGate gate;
+  gate.open(1, 0);
+  gate.offer(work(1), at(0));
+  gate.finished(GateRequestId{1}, milliseconds(100));
+  gate.offer(work(2), at(0));
+  const auto offer = gate.offer(work(3, 1, 60), at(0));
+  CHECK(offer.Kind == Admitted::Rejected);
+  CHECK(offer.Code == ErrorCode::Overloaded);
+  CHECK(offer.RetryAfter > Duration::zero());
+  CHECK(gate.offer(work(4, 1, 400), at(0)).Kind == Admitted::Queued);
+  CHECK(gate.expire(at(100)).empty());
+  CHECK(gate.expire(at(350)) == std::vector<GateRequestId>{GateRequestId{4}});
+}
+
+// Guards against a cold server that falls over: in no second may it get more
+// than the rate that it states, however fast it answers.
+TEST_CASE("a cold server gets its rate", "[slot_gate]") {
+  SlotGate gate;
+  gate.open(18, 0);
+  gate.setCold(19, at(3000));
+  std::vector<std::int64_t> starts;
+  std::uint64_t id = 0;
+  for (std::int64_t ms = 0; ms < 3000; ms += 5) {
+    const auto offer = gate.offer(work(++id), at(ms));
+    if (offer.Kind == Admitted::Run) {
+      starts.push_back(ms);
+    }
+    for (const auto it : gate.start(at(ms))) {
+      starts.push_back(ms);
+      gate.finished(it, milliseconds(1));
+    }
+    gate.finished(GateRequestId{id}, milliseconds(1));
+  }
+  for (std::size_t i = 0; i < starts.size(); ++i) {
+    const auto end =
+        std::lower_bound(starts.begin(), starts.end(), starts[i] + 1000);
+    CHECK(std::distance(starts.begin() + static_cast<std::ptrdiff_t>(i), end) <=
+          19);
+  }
+  CHECK(starts.size() > 40);
+}
