--- a/include/chivefold/mesh/placement.h
+++ b/include/chivefold/mesh/placement.h
@@ -11,6 +11,7 @@
 #include "chivefold/mesh/operator_state.h"
 #include "chivefold/mesh/version_policy.h"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <random>
@@ -43,7 +44,10 @@
   double ErrorWeight = 0.1;
   /** Time in which an old figure loses half of its weight. */
   Duration HalfLife = std::chrono::seconds(4);
-  Duration MaxBackOff = std::chrono::seconds(1);
+  /** Longest time for which a server that refused is not asked again, when it
+   * is full and when it takes no work at all. */
+  Duration MaxFullBackOff = std::chrono::milliseconds(150);
+  Duration MaxClosedBackOff = std::chrono::seconds(1);
 };
 
 /** A request to be placed. */
@@ -84,6 +88,8 @@
   /** Routes whose sizes and times are kept. */
   static constexpr std::size_t MaxRoutes = 4096;
   static constexpr std::uint32_t LowestWorth = 1;
+  /** Priorities told apart; the last one stands for all behind it. */
+  static constexpr std::size_t Urgencies = 4;
 
   /** The references outlive this object. */
   Placement(const FleetTable &fleet, const OperatorState &orders,
@@ -101,8 +107,10 @@
   void answered(const Address &peer, const std::string &route, Duration latency,
                 std::size_t bytes, bool serverError, const GateState &gate,
                 TimePoint now);
-  void refused(const Address &peer, const GateState &gate, Duration retryAfter,
-               TimePoint now);
+  /** @param priority of the request: a server that is full for less urgent work
+   * may still take more urgent work. */
+  void refused(const Address &peer, const GateState &gate,
+               std::uint32_t priority, Duration retryAfter, TimePoint now);
   void lost(const Address &peer, TimePoint now);
   void cancelled(const Address &peer);
 
@@ -126,7 +134,8 @@
     /** Smoothed share of failed calls. */
     double Errors = 0;
     TimePoint ErrorsAt{};
-    TimePoint NotBefore{};
+    /** When a request of each urgency may be tried again. */
+    std::array<TimePoint, Urgencies> NotBefore{};
   };
   struct RouteFigures {
     double TimeUs = 0;
--- a/src/mesh/placement.cpp
+++ b/src/mesh/placement.cpp
@@ -27,6 +27,10 @@
   return priority >= 2 ? Placement::LowestWorth : 3.0 - priority;
 }
 
+std::size_t urgencyOf(std::uint32_t priority) {
+  return std::min<std::size_t>(priority, Placement::Urgencies - 1);
+}
+
 } // namespace
 
 Placement::Placement(const FleetTable &fleet, const OperatorState &orders,
@@ -67,7 +71,8 @@
     return false;
   }
   const auto load = Loads.find(host.Peer);
-  return load == Loads.end() || now >= load->second.NotBefore;
+  return load == Loads.end() ||
+         now >= load->second.NotBefore[urgencyOf(request.Priority)];
 }
 
 double Placement::decay(TimePoint since, TimePoint now) const {
@@ -231,11 +236,18 @@
 }
 
 void Placement::refused(const Address &peer, const GateState &gate,
-                        Duration retryAfter, TimePoint now) {
+                        std::uint32_t priority, Duration retryAfter,
+                        TimePoint now) {
   auto &load = Loads[peer];
   load.Mine -= load.Mine > 0 ? 1 : 0;
   learnGate(load, gate, now);
-  load.NotBefore = now + std::min(retryAfter, Settings.MaxBackOff);
+  const bool closed = gate.Limit == 0;
+  const auto until =
+      now + std::min(retryAfter, closed ? Settings.MaxClosedBackOff
+                                        : Settings.MaxFullBackOff);
+  for (auto i = closed ? 0 : urgencyOf(priority); i < Urgencies; ++i) {
+    load.NotBefore[i] = until;
+  }
 }
 
 void Placement::lost(const Address &peer, TimePoint now) {
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -266,10 +266,12 @@
                      result.Status >= 500, result.Gate, now);
     break;
   case AttemptEnd::RefusedByGate:
-    servers.refused(request.Peer, result.Gate, result.RetryAfter, now);
+    servers.refused(request.Peer, result.Gate, request.Route->Priority,
+                    result.RetryAfter, now);
     break;
   case AttemptEnd::DeclinedByServer:
-    servers.refused(request.Peer, result.Gate, DefaultRetryAfter, now);
+    servers.refused(request.Peer, result.Gate, request.Route->Priority,
+                    DefaultRetryAfter, now);
     break;
   default:
     servers.lost(request.Peer, now);
