Do not send work to a full server in another data centre

Work that the own data centre refused for 150 ms went to servers elsewhere that were as full, and waited there.

--- a/include/chivefold/mesh/placement.h
+++ b/include/chivefold/mesh/placement.h
@@ -142,6 +142,9 @@
     double Bytes = 0;
   };
 
+  bool takesWork(const HostEntry &entry) const;
+  bool hasLocalServer(const std::vector<Address> &hosts) const;
+  bool isFull(const HostState &host, TimePoint now) const;
   bool usable(const HostState &host, const PlacementRequest &request,
               TimePoint now) const;
   double decay(TimePoint since, TimePoint now) const;
--- a/src/mesh/placement.cpp
+++ b/src/mesh/placement.cpp
@@ -58,13 +58,16 @@
   }
 }
 
+bool Placement::takesWork(const HostEntry &entry) const {
+  const auto &host = entry.State;
+  return (entry.reachable() || host.Peer == Self) && !host.Leaving &&
+         host.Server.Phase == ServerPhase::Ready &&
+         !Orders.isEvacuated(host.DataCentre) &&
+         Versions.share(host.Server.Service, host.Server.Version) > 0;
+}
+
 bool Placement::usable(const HostState &host, const PlacementRequest &request,
                        TimePoint now) const {
-  if (host.Server.Phase != ServerPhase::Ready || host.Leaving ||
-      host.Server.Service != request.Service ||
-      Orders.isEvacuated(host.DataCentre)) {
-    return false;
-  }
   const auto *tried = request.Tried;
   if (tried != nullptr &&
       std::find(tried->begin(), tried->end(), host.Peer) != tried->end()) {
@@ -131,6 +134,26 @@
   return out;
 }
 
+bool Placement::hasLocalServer(const std::vector<Address> &hosts) const {
+  return std::any_of(hosts.begin(), hosts.end(), [&](const Address &it) {
+    const auto *entry = Fleet.find(it);
+    return entry != nullptr && entry->State.DataCentre == DataCentre &&
+           takesWork(*entry);
+  });
+}
+
+// A full server in another data centre does not help: work would wait there as
+// it does here, and its bytes would cross.
+bool Placement::isFull(const HostState &host, TimePoint now) const {
+  const auto it = Loads.find(host.Peer);
+  if (it == Loads.end()) {
+    return false;
+  }
+  const auto &load = it->second;
+  const double ahead = load.Mine + load.Others * decay(load.GateAt, now);
+  return load.Limit > 0 && ahead >= load.Limit;
+}
+
 // The target of a rollout in its turns, "" for another version.
 std::string Placement::drawVersion(const PlacementRequest &request) {
   const auto split = Versions.split(request.Service);
@@ -161,16 +184,16 @@
   double best = 0;
   const HostState *chosen = nullptr;
   bool chosenFits = false;
+  const bool hasLocal = hasLocalServer(hosts->second);
   for (const auto &it : hosts->second) {
     const auto *entry = Fleet.find(it);
-    if (entry == nullptr || !(entry->reachable() || it == Self) ||
-        !usable(entry->State, request, now)) {
+    if (entry == nullptr || !takesWork(*entry) ||
+        !usable(entry->State, request, now) ||
+        (hasLocal && entry->State.DataCentre != DataCentre &&
+         isFull(entry->State, now))) {
       continue;
     }
     const auto &server = entry->State.Server;
-    if (Versions.share(request.Service, server.Version) == 0) {
-      continue;
-    }
     ++out.Candidates;
     // Requests beyond the share of a rollout's target must not reach it.
     const bool isTarget = split && server.Version == split->Target;
