--- a/include/chivefold/mesh/slot_gate.h
+++ b/include/chivefold/mesh/slot_gate.h
@@ -46,6 +46,9 @@
   double TimeWeight = 0.1;
   /** Expected time of service before the first call of a route. */
   Duration FirstExpected = std::chrono::milliseconds(50);
+  /** Of so many starts one goes to less urgent work that waits, so that it is
+   * not starved while urgent work alone fills the server. */
+  std::uint32_t LessUrgentTurn = 6;
   Duration MinRetryAfter = std::chrono::milliseconds(50);
   Duration MaxRetryAfter = std::chrono::seconds(2);
 };
@@ -117,6 +120,7 @@
     std::string Route;
   };
 
+  std::map<Key, Waiting>::iterator nextWaiting();
   bool mayStart(TimePoint now) const;
   bool isCold(TimePoint now) const { return now < ColdUntil; }
   std::size_t coldAllowance() const;
@@ -131,6 +135,8 @@
   double ColdRate = 0;
   TimePoint ColdUntil{};
   std::uint64_t NextSequence = 0;
+  /** Starts of urgent work since less urgent work had its turn. */
+  std::uint32_t UrgentStarts = 0;
   std::map<Key, Waiting> Queue;
   std::unordered_map<GateRequestId, Key> QueuedIds;
   /** Route of each running request; bounded by Limit. */
--- a/src/mesh/slot_gate.cpp
+++ b/src/mesh/slot_gate.cpp
@@ -117,10 +117,29 @@
   Starts.push_back(now);
 }
 
+// Precondition: something waits.
+std::map<SlotGate::Key, SlotGate::Waiting>::iterator SlotGate::nextWaiting() {
+  const auto first = Queue.begin();
+  const auto lessUrgent =
+      Queue.lower_bound(Key{first->first.Priority + 1, 0});
+  if (lessUrgent == Queue.end()) {
+    UrgentStarts = 0;
+    return first;
+  }
+  if (++UrgentStarts < Tuning.LessUrgentTurn) {
+    return first;
+  }
+  UrgentStarts = 0;
+  return std::min_element(lessUrgent, Queue.end(),
+                          [](const auto &a, const auto &b) {
+                            return a.first.Sequence < b.first.Sequence;
+                          });
+}
+
 std::vector<GateRequestId> SlotGate::start(TimePoint now) {
   std::vector<GateRequestId> ids;
   while (!Queue.empty() && mayStart(now)) {
-    const auto first = Queue.begin();
+    const auto first = nextWaiting();
     ids.push_back(first->second.Id);
     begin(first->second.Id, first->second.Route, now);
     QueuedIds.erase(first->second.Id);
--- a/src/sidecar/order_feed.cpp
+++ b/src/sidecar/order_feed.cpp
@@ -138,7 +138,7 @@
   Fetching = true;
   wire::FetchOrdersT fetch;
   fetch.after = State.end();
-  Network.request(peer, frameBody(std::move(fetch)), Loop.now() + FetchTimeout,
+  Network.request(peer, frameBody(fetch), Loop.now() + FetchTimeout,
                   [this](PeerOutcome outcome) {
                     Fetching = false;
                     auto *orders =
--- a/src/sidecar/rollout_service.cpp
+++ b/src/sidecar/rollout_service.cpp
@@ -86,6 +86,7 @@
 
 std::vector<KindCounts> values(const std::map<std::string, KindCounts> &sums) {
   std::vector<KindCounts> out;
+  out.reserve(sums.size());
   for (const auto &it : sums) {
     out.push_back(it.second);
   }
--- a/tests/unit/backend_service_test.cpp
+++ b/tests/unit/backend_service_test.cpp
@@ -12,10 +12,10 @@
 namespace {
 
 struct BackendFixture {
-  const platform::RequestHeaders Requests;
-  const platform::ServerReports Reports;
-  const platform::OperatorRecords Records;
-  const platform::RolloutStatuses Statuses;
+  platform::RequestHeaders Requests;
+  platform::ServerReports Reports;
+  platform::OperatorRecords Records;
+  platform::RolloutStatuses Statuses;
   const PlatformPorts Ports{Requests, Reports, Records, Statuses};
   Reactor Loop;
   HttpClient Client{Loop, 4};
--- a/tests/unit/slot_gate_test.cpp
+++ b/tests/unit/slot_gate_test.cpp
@@ -52,6 +52,35 @@
   CHECK(order == std::vector<std::uint64_t>{3, 4, 2});
 }
 
+// Guards against less urgent work that never runs: urgent work arrives as fast
+// as the server works, one request in six is less urgent and must get through.
+TEST_CASE("less urgent work is not starved", "[slot_gate]") {
+  SlotGate gate;
+  gate.open(1, 0);
+  std::uint64_t id = 0;
+  std::uint64_t lessUrgent = 0;
+  std::vector<std::uint64_t> lessUrgentIds;
+  gate.offer(work(++id, 0), at(0));
+  for (std::int64_t ms = 10; ms < 10'000; ms += 10) {
+    gate.offer(work(++id, 0, ms + 60), at(ms));
+    if (ms % 60 == 0) {
+      const auto offer = gate.offer(work(++id, 2, ms + 500), at(ms));
+      if (offer.Kind == Admitted::Queued) {
+        lessUrgentIds.push_back(id);
+      }
+    }
+    gate.expire(at(ms));
+    for (std::uint64_t n = 1; n <= id; ++n) {
+      gate.finished(GateRequestId{n}, milliseconds(10));
+    }
+    for (const auto it : gate.start(at(ms))) {
+      const auto raw = static_cast<std::uint64_t>(it);
+      lessUrgent += std::count(lessUrgentIds.begin(), lessUrgentIds.end(), raw);
+    }
+  }
+  CHECK(lessUrgent > 100);
+}
+
 // Guards against work that waits although it cannot end in time.
 TEST_CASE("hopeless work is refused at once", "[slot_gate]") {
   SlotGate gate;
