--- a/include/chivefold/mesh/slot_gate.h
+++ b/include/chivefold/mesh/slot_gate.h
@@ -40,7 +40,8 @@
   /** Part of a cold server's stated rate that is used; the rest covers requests
    * whose arrival is counted in the next second. */
   double ColdPart = 0.9;
-  /** Requests that wait for one slot at most, at the mean time of service. */
+  /** Requests of one urgency, or of it and less urgent ones, that wait for one
+   * slot at most. */
   double QueuePerSlot = 4;
   /** Weight of the newest call in the expected time of service. */
   double TimeWeight = 0.1;
@@ -121,6 +122,7 @@
   };
 
   std::map<Key, Waiting>::iterator nextWaiting();
+  std::size_t startsBefore(const Key &key);
   bool mayStart(TimePoint now) const;
   bool isCold(TimePoint now) const { return now < ColdUntil; }
   std::size_t coldAllowance() const;
--- a/src/mesh/slot_gate.cpp
+++ b/src/mesh/slot_gate.cpp
@@ -89,6 +89,23 @@
           std::clamp(wait, Tuning.MinRetryAfter, Tuning.MaxRetryAfter)};
 }
 
+// Starts before a newcomer's: those of all work that is as urgent or more, or,
+// by the turns of less urgent work, those of the less urgent work alone.
+std::size_t SlotGate::startsBefore(const Key &key) {
+  const auto count = [](auto from, auto to) {
+    return static_cast<std::size_t>(std::distance(from, to));
+  };
+  const auto inOrder = count(Queue.begin(), Queue.lower_bound(key));
+  if (Queue.empty() || key.Priority == Queue.begin()->first.Priority) {
+    return inOrder;
+  }
+  const auto lessUrgent =
+      Queue.lower_bound(Key{Queue.begin()->first.Priority + 1, 0});
+  const auto inTurn =
+      (count(lessUrgent, Queue.end()) + 1) * Tuning.LessUrgentTurn;
+  return std::min(inOrder, inTurn);
+}
+
 SlotOffer SlotGate::offer(const SlotWork &work, TimePoint now) {
   if (!Open) {
     return refuse(ErrorCode::NotReady, Tuning.MaxRetryAfter);
@@ -98,11 +115,13 @@
     return {};
   }
   const Key key{work.Priority, ++NextSequence};
-  const auto ahead = static_cast<std::size_t>(
-      std::distance(Queue.begin(), Queue.lower_bound(key)));
+  const auto ahead = startsBefore(key);
   const auto wait = expectedWait(ahead, now);
+  // Work that is more urgent does not fill the queue of the rest.
+  const auto sameOrLess =
+      std::distance(Queue.lower_bound(Key{work.Priority, 0}), Queue.end());
   if (now + wait + expected(work.Route) > work.Deadline ||
-      static_cast<double>(ahead) >= Limit * Tuning.QueuePerSlot) {
+      static_cast<double>(sameOrLess) >= Limit * Tuning.QueuePerSlot) {
     return refuse(ErrorCode::Overloaded, wait);
   }
   Queue.emplace(key, Waiting{work.Id, work.Deadline, work.Route});
@@ -120,8 +139,7 @@
 // Precondition: something waits.
 std::map<SlotGate::Key, SlotGate::Waiting>::iterator SlotGate::nextWaiting() {
   const auto first = Queue.begin();
-  const auto lessUrgent =
-      Queue.lower_bound(Key{first->first.Priority + 1, 0});
+  const auto lessUrgent = Queue.lower_bound(Key{first->first.Priority + 1, 0});
   if (lessUrgent == Queue.end()) {
     UrgentStarts = 0;
     return first;
--- /dev/null
+++ b/tests/unit/placement_test.cpp
@@ -0,0 +1,131 @@
+#include "chivefold/mesh/placement.h"
+
+#include "record_codec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace chivefold;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint at(std::int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+/** Two servers here and two in another data centre; this daemon has none. */
+struct PlacementFixture {
+  platform::OperatorRecords Codec;
+  OperatorState Orders{Codec};
+  VersionPolicy Versions{Orders};
+  FleetTable Fleet{1};
+  Placement Servers{Fleet, Orders, Versions, {"10.0.0.9", 1}, "here", 1};
+  std::vector<Address> Tried;
+
+  PlacementFixture() {
+    for (const auto *ip : {"10.0.0.1", "10.0.0.2", "10.1.0.1", "10.1.0.2"}) {
+      HostState host;
+      host.Peer = {ip, 1};
+      host.DataCentre = host.Peer.Ip[3] == '0' ? "here" : "there";
+      host.BootId = 1;
+      host.Server = {std::string("i-") + ip, "s", "v1", 4, ServerPhase::Ready};
+      Fleet.update(host, at(0));
+    }
+    Servers.refresh();
+  }
+
+  PlacementChoice choose(std::int64_t ms, std::uint32_t priority = 2) {
+    PlacementRequest request;
+    request.Service = "s";
+    request.Route = "r";
+    request.Priority = priority;
+    request.TargetLatency = milliseconds(200);
+    request.Tried = &Tried;
+    return Servers.choose(request, at(ms));
+  }
+
+  /** Lets a server answer one call, and tell the load of its gate. */
+  void answer(const std::string &ip, std::uint32_t inFlight,
+              std::uint32_t queued, std::int64_t ms) {
+    const Address peer{ip, 1};
+    Servers.started(peer);
+    GateState gate;
+    gate.Limit = 4;
+    gate.InFlight = inFlight;
+    gate.Queued = queued;
+    Servers.answered(peer, "r", milliseconds(100), 5000, false, gate, at(ms));
+  }
+};
+
+bool isHere(const PlacementChoice &choice) {
+  return choice.Peer && choice.Peer->Ip.rfind("10.0", 0) == 0;
+}
+
+} // namespace
+
+// Guards against requests whose bytes cross data centres although they would be
+// answered in time at home, and against ones that are late at home while there
+// is room elsewhere and their worth pays for it.
+TEST_CASE("work stays in its data centre until it would be late",
+          "[placement]") {
+  PlacementFixture f;
+  for (const auto *ip : {"10.0.0.1", "10.0.0.2"}) {
+    f.answer(ip, 3, 0, 0);
+  }
+  for (const auto *ip : {"10.1.0.1", "10.1.0.2"}) {
+    f.answer(ip, 0, 0, 0);
+  }
+  for (int i = 0; i < 50; ++i) {
+    CHECK(isHere(f.choose(1)));
+  }
+  for (const auto *ip : {"10.0.0.1", "10.0.0.2"}) {
+    f.answer(ip, 4, 16, 2);
+  }
+  CHECK_FALSE(isHere(f.choose(3, 0)));
+}
+
+// Guards against work that waits elsewhere as it would here, and crosses data
+// centres for nothing.
+TEST_CASE("a full server elsewhere is not used", "[placement]") {
+  PlacementFixture f;
+  for (const auto *ip : {"10.0.0.1", "10.0.0.2", "10.1.0.1", "10.1.0.2"}) {
+    f.answer(ip, 4, 16, 0);
+  }
+  CHECK(isHere(f.choose(1, 0)));
+  f.Tried = {{"10.0.0.1", 1}, {"10.0.0.2", 1}};
+  CHECK_FALSE(f.choose(1, 0).Peer);
+}
+
+// Guards against urgent work that finds no server since less urgent work was
+// refused there, and against a closed gate that is asked again at once.
+TEST_CASE("a refusal binds no more urgent work", "[placement]") {
+  PlacementFixture f;
+  GateState full;
+  full.Limit = 4;
+  full.InFlight = 4;
+  for (const auto *ip : {"10.0.0.1", "10.0.0.2", "10.1.0.1", "10.1.0.2"}) {
+    f.Servers.started({ip, 1});
+    f.Servers.refused({ip, 1}, full, 1, std::chrono::seconds(1), at(0));
+  }
+  CHECK_FALSE(f.choose(1, 1).Peer);
+  CHECK_FALSE(f.choose(1, 2).Peer);
+  CHECK(f.choose(1, 0).Peer);
+  CHECK(f.choose(200, 1).Peer);
+  GateState closed;
+  f.Servers.started({"10.0.0.1", 1});
+  f.Servers.refused({"10.0.0.1", 1}, closed, 2, std::chrono::seconds(1),
+                    at(300));
+  for (int i = 0; i < 20; ++i) {
+    CHECK(f.choose(301, 0).Peer->Ip != "10.0.0.1");
+  }
+}
+
+// Guards against a data centre that operators emptied, a server that drains and
+// a version without a share.
+TEST_CASE("servers that must get nothing get nothing", "[placement]") {
+  PlacementFixture f;
+  f.Orders.apply({"evacuate/here", "{}", 1});
+  CHECK_FALSE(isHere(f.choose(1)));
+  f.Orders.apply({"evacuate/here", std::nullopt, 2});
+  f.Orders.apply({"rollout/s", R"({"targetVersion":"v1","durationS":9})", 3});
+  CHECK_FALSE(f.choose(1).Peer);
+}
