--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Entry points: `make demo`, `make test`. Both install the packages and build.
-.PHONY: packages build test demo lint format fuzz bench sanitized clean
+.PHONY: packages build test demo lint format fuzz bench sanitized clean platform bench-days
 
 JOBS ?= 8
 
@@ -20,6 +20,16 @@
 demo: build
 	./tests/e2e/demo
 
+# Builds the sidecar as deploy/system.toml does.
+platform: packages
+	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
+
+# Plays the standard days of a site on the operator's bench.
+bench-days:
+	@test -x "$(BENCH)" || { echo "make bench-days: BENCH must name the bench's program" >&2; exit 2; }
+	@test -f "$(SITE)" || { echo "make bench-days: SITE must name a site file" >&2; exit 2; }
+	$(BENCH) score $(SITE) --why "$(WHY)"
+
 bench: build
 	./benchmark/run
 
--- a/include/chivefold/io/logging.h
+++ b/include/chivefold/io/logging.h
@@ -21,8 +21,11 @@
 /** @return "trace", "debug", "info", "warn" or "error". Thread-safe. */
 std::string_view logLevelName(LogLevel level);
 
-/** Sends all log lines to stderr. Called once at the start of a process. */
-void initLogging(LogLevel level);
+/** Where the lines of a process go. */
+enum class LogStream : std::uint8_t { StandardError, StandardOutput };
+
+/** Sends all log lines to @p stream. Called once at the start of a process. */
+void initLogging(LogLevel level, LogStream stream = LogStream::StandardError);
 
 /** Sets the level of all parts. @return InvalidArgument for another name than
  * those of logLevelName(). Thread-safe. */
--- a/src/io/logging.cpp
+++ b/src/io/logging.cpp
@@ -79,11 +79,13 @@
   return LevelNames[static_cast<std::size_t>(level)];
 }
 
-void initLogging(LogLevel level) {
+void initLogging(LogLevel level, LogStream stream) {
   const auto layout = std::make_shared<log4cxx::PatternLayout>(
       "%d{yyyy-MM-ddTHH:mm:ss.SSSZ} %p %c: %m%n");
   const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-      layout, log4cxx::ConsoleAppender::getSystemErr());
+      layout, stream == LogStream::StandardOutput
+                  ? log4cxx::ConsoleAppender::getSystemOut()
+                  : log4cxx::ConsoleAppender::getSystemErr());
   const auto root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
   root->addAppender(appender);
