Continue the clock of a rollout after a change of the driver

A daemon that took over after a restart counted the time since the order as that of the last agreed step, which stood still.

--- a/include/chivefold/mesh/rollout_driver.h
+++ b/include/chivefold/mesh/rollout_driver.h
@@ -9,12 +9,39 @@
 #include "chivefold/core/types.h"
 #include "chivefold/mesh/version_policy.h"
 
-#include <optional>
+#include <map>
 #include <string>
 #include <vector>
 
 namespace chivefold {
 
+/**
+ * Time since each order was given, as far as this daemon can tell. A daemon
+ * that started later goes on from the time in the agreed progress. Not
+ * thread-safe.
+ */
+class OrderClock {
+public:
+  /** Notes that an order is in force; earlier notes of the order count. */
+  void sawOrder(const RolloutOrder &order, TimePoint now);
+
+  /** Notes agreed progress and the time since its order that it states. */
+  void sawProgress(const RolloutProgress &progress, TimePoint now);
+
+  Duration elapsed(const RolloutOrder &order, TimePoint now) const;
+
+private:
+  /** Latest time at which the order can have been given. */
+  struct Given {
+    std::uint64_t OrderOffset = 0;
+    TimePoint At{};
+  };
+  void note(const std::string &service, std::uint64_t order, TimePoint given);
+
+  /** By service; bounded by the orders and the progress that are kept. */
+  std::map<std::string, Given> Orders;
+};
+
 /** A share that may be given from a part of the allowed time on. */
 struct RolloutStep {
   std::uint32_t ShareBasisPoints;
--- a/include/chivefold/sidecar/rollout_service.h
+++ b/include/chivefold/sidecar/rollout_service.h
@@ -98,7 +98,6 @@
   void reportStatus(const RolloutProgress &progress, Drive &drive);
   bool take(const RolloutProgress &progress);
   void spread() const;
-  Duration elapsed(const RolloutOrder &order) const;
   wire::RolloutsT progressFrame() const;
 
   Reactor &Loop;
@@ -106,12 +105,7 @@
   RolloutParts Parts;
   Address Self;
   std::function<void()> Changed;
-  /** When each order was first seen here, by service. */
-  struct Seen {
-    std::uint64_t OrderOffset = 0;
-    TimePoint At{};
-  };
-  std::map<std::string, Seen> SeenOrders;
+  OrderClock Clock;
   std::map<std::string, Drive> Drives;
   /** End of the stream as last read; absent until then. */
   std::optional<std::uint64_t> StreamEnd;
--- a/src/mesh/rollout_driver.cpp
+++ b/src/mesh/rollout_driver.cpp
@@ -12,6 +12,31 @@
 
 } // namespace
 
+void OrderClock::note(const std::string &service, std::uint64_t order,
+                      TimePoint given) {
+  auto &known = Orders[service];
+  if (known.At == TimePoint{} || known.OrderOffset < order) {
+    known = {order, given};
+  } else if (known.OrderOffset == order) {
+    known.At = std::min(known.At, given);
+  }
+}
+
+void OrderClock::sawOrder(const RolloutOrder &order, TimePoint now) {
+  note(order.Service, order.Offset, now);
+}
+
+void OrderClock::sawProgress(const RolloutProgress &progress, TimePoint now) {
+  note(progress.Service, progress.OrderOffset, now - progress.Elapsed);
+}
+
+Duration OrderClock::elapsed(const RolloutOrder &order, TimePoint now) const {
+  const auto it = Orders.find(order.Service);
+  return it == Orders.end() || it->second.OrderOffset != order.Offset
+             ? Duration::zero()
+             : now - it->second.At;
+}
+
 std::string_view rolloutActionName(RolloutAction action) {
   return ActionNames[static_cast<std::size_t>(action)];
 }
--- a/src/sidecar/rollout_service.cpp
+++ b/src/sidecar/rollout_service.cpp
@@ -140,6 +140,7 @@
   if (!Parts.Versions.apply(progress)) {
     return false;
   }
+  Clock.sawProgress(progress, Loop.now());
   Lines.info("progress", {{"service", progress.Service},
                           {"target", progress.TargetVersion},
                           {"phase", rolloutPhaseName(progress.Phase)},
@@ -151,24 +152,8 @@
 
 void RolloutService::ordersChanged() {
   for (const auto &it : Parts.Orders.rollouts()) {
-    auto &seen = SeenOrders[it.first];
-    if (seen.OrderOffset != it.second.Offset || seen.At == TimePoint{}) {
-      seen = {it.second.Offset, Loop.now()};
-    }
-  }
-}
-
-Duration RolloutService::elapsed(const RolloutOrder &order) const {
-  const auto it = SeenOrders.find(order.Service);
-  Duration out{};
-  if (it != SeenOrders.end()) {
-    out = Loop.now() - it->second.At;
+    Clock.sawOrder(it.second, Loop.now());
   }
-  const auto *known = Parts.Versions.progress(order.Service);
-  if (known != nullptr && known->OrderOffset == order.Offset) {
-    out = std::max(out, known->Elapsed);
-  }
-  return out;
 }
 
 bool RolloutService::isDriver(const std::string &service) const {
@@ -232,7 +217,7 @@
   out.Service = order.Service;
   out.TargetVersion = order.TargetVersion;
   out.OrderOffset = order.Offset;
-  out.Elapsed = elapsed(order);
+  out.Elapsed = Clock.elapsed(order, Loop.now());
   if (const auto *before = Parts.Versions.progress(order.Service)) {
     out.Rejected = before->Rejected;
     out.BaseVersion = before->BaseVersion;
@@ -311,7 +296,7 @@
                                    const Drive &drive,
                                    const RolloutProgress &progress) const {
   RolloutView view;
-  view.OrderedAt = Loop.now() - elapsed(order);
+  view.OrderedAt = Loop.now() - Clock.elapsed(order, Loop.now());
   view.TimeAllowed = order.TimeAllowed;
   view.ShareBasisPoints = progress.ShareBasisPoints;
   view.AbleServers =
@@ -335,7 +320,7 @@
     return;
   }
   auto next = known;
-  next.Elapsed = elapsed(order);
+  next.Elapsed = Clock.elapsed(order, Loop.now());
   next.ShareBasisPoints = decision.ShareBasisPoints;
   if (decision.Action == RolloutAction::Complete) {
     next.Phase = RolloutPhase::Completed;
--- a/tests/unit/mesh_state_test.cpp
+++ b/tests/unit/mesh_state_test.cpp
@@ -162,6 +162,28 @@
   CHECK(at(20'000) - last <= milliseconds(2100));
 }
 
+// Guards against a rollout whose time stands still for a driver that started
+// later: it kept the time of the last agreed step, and the deadline passed.
+TEST_CASE("a later driver goes on with the clock of the order", "[mesh]") {
+  OrderClock clock;
+  RolloutOrder order;
+  order.Service = "s";
+  order.Offset = 3;
+  clock.sawOrder(order, at(100'000));
+  auto step = progress(RolloutPhase::Running, 2500, 5);
+  step.Elapsed = milliseconds(5000);
+  clock.sawProgress(step, at(100'000));
+  CHECK(clock.elapsed(order, at(100'000)) == milliseconds(5000));
+  CHECK(clock.elapsed(order, at(104'000)) == milliseconds(9000));
+  // A time that was stated later and is shorter does not set it back.
+  step.Elapsed = milliseconds(6000);
+  clock.sawProgress(step, at(104'000));
+  CHECK(clock.elapsed(order, at(104'000)) == milliseconds(9000));
+  order.Offset = 9;
+  clock.sawOrder(order, at(105'000));
+  CHECK(clock.elapsed(order, at(106'000)) == milliseconds(1000));
+}
+
 // Guards against a bad version that keeps its share, and against a good one
 // that is not finished within its time.
 TEST_CASE("a rollout ends by its evidence", "[mesh]") {
