Share the listening socket and the wire form of a gate's state

HttpServer and PeerNetwork had the same code to bind, watch and close a listening socket; both use Listener now. FleetService had its own copy of the conversion of a gate's state; gateToWire() and gateFromWire() serve it and the call answers. No change of behaviour.

--- a/include/chivefold/daemon/call_message.h
+++ b/include/chivefold/daemon/call_message.h
@@ -85,6 +85,10 @@
 wire::CallRequestT toWire(const CallMessage &call, TimePoint now);
 CallMessage fromWire(wire::CallRequestT &request, TimePoint now);
 
+/** Converts the state of a gate; all zero if there is none. Thread-safe. */
+std::unique_ptr<wire::GateStateT> gateToWire(const GateState &gate);
+GateState gateFromWire(const wire::GateStateT *gate);
+
 wire::CallAnswerT toWire(const CallResult &result);
 /** @return the result, or nothing if a field is out of range. Thread-safe. */
 std::optional<CallResult> fromWire(wire::CallAnswerT &answer);
--- a/src/daemon/call_message.cpp
+++ b/src/daemon/call_message.cpp
@@ -116,6 +116,24 @@
   return call;
 }
 
+std::unique_ptr<wire::GateStateT> gateToWire(const GateState &gate) {
+  auto to = std::make_unique<wire::GateStateT>();
+  to->limit = gate.Limit;
+  to->in_flight = gate.InFlight;
+  to->queued = gate.Queued;
+  to->cold = gate.Cold;
+  to->leaving = gate.Leaving;
+  return to;
+}
+
+GateState gateFromWire(const wire::GateStateT *gate) {
+  if (gate == nullptr) {
+    return {};
+  }
+  return {gate->limit, gate->in_flight, gate->queued, gate->cold,
+          gate->leaving};
+}
+
 wire::CallAnswerT toWire(const CallResult &result) {
   wire::CallAnswerT to;
   to.outcome = static_cast<std::uint8_t>(result.Result);
@@ -124,12 +142,7 @@
   to.headers = toWire(result.Headers);
   to.body.assign(result.Body.begin(), result.Body.end());
   to.retry_after_ms = toMs(result.RetryAfter);
-  to.gate = std::make_unique<wire::GateStateT>();
-  to.gate->limit = result.Gate.Limit;
-  to.gate->in_flight = result.Gate.InFlight;
-  to.gate->queued = result.Gate.Queued;
-  to.gate->cold = result.Gate.Cold;
-  to.gate->leaving = result.Gate.Leaving;
+  to.gate = gateToWire(result.Gate);
   return to;
 }
 
@@ -144,11 +157,7 @@
   result.Headers = fromWire(answer.headers);
   result.Body.assign(answer.body.begin(), answer.body.end());
   result.RetryAfter = std::chrono::milliseconds(answer.retry_after_ms);
-  if (answer.gate) {
-    result.Gate = {answer.gate->limit, answer.gate->in_flight,
-                   answer.gate->queued, answer.gate->cold,
-                   answer.gate->leaving};
-  }
+  result.Gate = gateFromWire(answer.gate.get());
   return result;
 }
 
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -1,13 +1,8 @@
 #include "chivefold/io/http_server.h"
 
 #include "http_connection.h"
+#include "listener.h"
 
-#include <ace/INET_Addr.h>
-#include <ace/SOCK_Acceptor.h>
-#include <array>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 #include <unordered_map>
 
 namespace chivefold {
@@ -16,7 +11,6 @@
 
 // Connections accepted in one turn of the loop.
 constexpr int MaxAccepts = 64;
-constexpr int Backlog = 1024;
 
 } // namespace
 
@@ -53,44 +47,22 @@
   Reactor &Loop;
   Address Listen;
   HttpHandler Handler;
-  ACE_SOCK_Acceptor Acceptor;
-  std::unique_ptr<DescriptorWatch> Watch;
+  Listener Socket;
   std::unordered_map<HttpConnection *, std::shared_ptr<HttpConnection>>
       Connections;
 };
 
 Status HttpServer::Impl::start() {
-  ACE_INET_Addr local;
-  if (local.set(Listen.Port, Listen.Ip.c_str()) != 0) {
-    return Reason{ErrorCode::InvalidArgument, "not an IP address"};
-  }
-  if (Acceptor.open(local, 1, PF_UNSPEC, Backlog) != 0) {
-    return Reason{ErrorCode::ConnectionFailed,
-                  "cannot listen on " + toString(Listen)};
-  }
-  Acceptor.enable(ACE_NONBLOCK);
-  Acceptor.get_local_addr(local);
-  Listen.Port = local.get_port_number();
-  Watch = std::make_unique<DescriptorWatch>(
-      Loop.ace(), Acceptor.get_handle(),
-      [this](ACE_Reactor_Mask /*mask*/) { acceptConnections(); });
-  if (!Watch->watch(ACE_Event_Handler::READ_MASK)) {
-    return Reason{ErrorCode::ConnectionFailed, "too many descriptors"};
-  }
-  return Done{};
+  return Socket.open(Loop, Listen, [this] { acceptConnections(); });
 }
 
 void HttpServer::Impl::quiesce() {
   Closing = true;
-  if (Watch) {
-    Watch->watch(ACE_Event_Handler::NULL_MASK);
-    Acceptor.close();
-    Watch.reset();
-    const auto open = Connections;
-    for (const auto &it : open) {
-      if (it.first->isIdle()) {
-        it.first->shut();
-      }
+  Socket.close();
+  const auto open = Connections;
+  for (const auto &it : open) {
+    if (it.first->isIdle()) {
+      it.first->shut();
     }
   }
 }
@@ -98,7 +70,8 @@
 void HttpServer::Impl::acceptConnections() {
   for (int i = 0; i < MaxAccepts; ++i) {
     ACE_SOCK_Stream stream;
-    if (Acceptor.accept(stream, nullptr, nullptr, false) != 0) {
+    ACE_INET_Addr from;
+    if (!Socket.accept(stream, from)) {
       return;
     }
     stream.enable(ACE_NONBLOCK);
--- a/src/io/peer_network.cpp
+++ b/src/io/peer_network.cpp
@@ -1,9 +1,8 @@
 #include "chivefold/io/peer_network.h"
 
+#include "listener.h"
 #include "peer_link.h"
 
-#include <ace/INET_Addr.h>
-#include <ace/SOCK_Acceptor.h>
 #include <array>
 #include <sys/socket.h>
 
@@ -13,7 +12,6 @@
 
 // Links accepted in one turn of the loop.
 constexpr int MaxAccepts = 64;
-constexpr int Backlog = 1024;
 
 Address addressOf(const ACE_INET_Addr &a) {
   std::array<char, 64> buf{};
@@ -62,8 +60,7 @@
   Reactor &Loop;
   Address Listen;
   PeerHandler Handler;
-  ACE_SOCK_Acceptor Acceptor;
-  std::unique_ptr<DescriptorWatch> Watch;
+  Listener Socket;
   std::unordered_map<PeerLink *, std::shared_ptr<PeerLink>> Links;
   std::unordered_map<Address, PeerLink *> Outbound;
   std::unordered_map<std::uint64_t, Request> Requests;
@@ -85,38 +82,16 @@
 }
 
 Status PeerNetwork::Impl::start() {
-  ACE_INET_Addr local;
-  if (local.set(Listen.Port, Listen.Ip.c_str()) != 0) {
-    return Reason{ErrorCode::InvalidArgument, "not an IP address"};
-  }
-  if (Acceptor.open(local, 1, PF_UNSPEC, Backlog) != 0) {
-    return Reason{ErrorCode::ConnectionFailed,
-                  "cannot listen on " + toString(Listen)};
-  }
-  Acceptor.enable(ACE_NONBLOCK);
-  Acceptor.get_local_addr(local);
-  Listen.Port = local.get_port_number();
-  Watch = std::make_unique<DescriptorWatch>(
-      Loop.ace(), Acceptor.get_handle(),
-      [this](ACE_Reactor_Mask /*mask*/) { acceptLinks(); });
-  if (!Watch->watch(ACE_Event_Handler::READ_MASK)) {
-    return Reason{ErrorCode::ConnectionFailed, "too many descriptors"};
-  }
-  return Done{};
+  return Socket.open(Loop, Listen, [this] { acceptLinks(); });
 }
 
-void PeerNetwork::Impl::quiesce() {
-  if (Watch) {
-    Watch->watch(ACE_Event_Handler::NULL_MASK);
-    Acceptor.close();
-  }
-}
+void PeerNetwork::Impl::quiesce() { Socket.close(); }
 
 void PeerNetwork::Impl::acceptLinks() {
   for (int i = 0; i < MaxAccepts; ++i) {
     ACE_SOCK_Stream stream;
     ACE_INET_Addr from;
-    if (Acceptor.accept(stream, &from, nullptr, false) != 0) {
+    if (!Socket.accept(stream, from)) {
       return;
     }
     if (!makeRoom()) {
--- a/src/sidecar/fleet_service.cpp
+++ b/src/sidecar/fleet_service.cpp
@@ -1,5 +1,6 @@
 #include "chivefold/sidecar/fleet_service.h"
 
+#include "chivefold/daemon/call_message.h"
 #include "chivefold/daemon/wire_convert.h"
 
 #include <algorithm>
@@ -18,16 +19,6 @@
   return to;
 }
 
-std::unique_ptr<wire::GateStateT> toWire(const GateState &gate) {
-  auto to = std::make_unique<wire::GateStateT>();
-  to->limit = gate.Limit;
-  to->in_flight = gate.InFlight;
-  to->queued = gate.Queued;
-  to->cold = gate.Cold;
-  to->leaving = gate.Leaving;
-  return to;
-}
-
 /** @return the state, or nothing if a field is missing or out of range. */
 std::optional<HostState> stateOf(const wire::HelloT &hello) {
   const auto peer = fromWire(hello.address.get());
@@ -46,10 +37,7 @@
   out.Server.Version = hello.server->version;
   out.Server.Slots = hello.server->slots;
   out.Server.Phase = static_cast<ServerPhase>(hello.server->phase);
-  if (hello.gate) {
-    out.Gate = {hello.gate->limit, hello.gate->in_flight, hello.gate->queued,
-                hello.gate->cold, hello.gate->leaving};
-  }
+  out.Gate = gateFromWire(hello.gate.get());
   return out;
 }
 
@@ -190,7 +178,7 @@
   out.sequence = self.Sequence;
   out.leaving = self.Leaving;
   out.server = toWire(self.Server);
-  out.gate = toWire(self.Gate);
+  out.gate = gateToWire(self.Gate);
   out.address_digest = Table.addressDigest();
   out.operator_end = extras.OperatorEnd;
   out.rollout_digest = extras.RolloutDigest;
