Judge a rollout by what servers get, on several of them

The share counted requests that were sent, while gates of the old version refused many of them, so the target got more than its share of what servers got.

--- a/include/chivefold/mesh/placement.h
+++ b/include/chivefold/mesh/placement.h
@@ -101,8 +101,11 @@
 
   PlacementChoice choose(const PlacementRequest &request, TimePoint now);
 
-  /** A request was sent. Followed by exactly one of the four below. */
+  /** A request was sent. Followed by exactly one of answered(), refused(),
+   * lost() and cancelled(), after notReached() if it came back unsent. */
   void started(const Address &peer);
+  /** No server has seen the request. */
+  void notReached(const Address &peer) { countForSplit(peer, -1); }
   /** @param bytes of the request and its answer. */
   void answered(const Address &peer, const std::string &route, Duration latency,
                 std::size_t bytes, bool serverError, const GateState &gate,
@@ -153,7 +156,11 @@
   double expectedTime(const HostState &host, double routeTime, TimePoint now,
                       double &errors) const;
   void learnGate(Load &load, const GateState &gate, TimePoint now);
-  std::string drawVersion(const PlacementRequest &request);
+  bool isTurnOfTarget(const std::string &service,
+                      const VersionPolicy::Split &split) const;
+  void countForSplit(const Address &peer, int sign);
+  std::vector<Address> targetServers(const std::vector<Address> &hosts,
+                                     const VersionPolicy::Split &split) const;
 
   const FleetTable &Fleet;
   const OperatorState &Orders;
@@ -166,7 +173,9 @@
   std::unordered_map<std::string, std::vector<Address>> ByService;
   std::unordered_map<Address, Load> Loads;
   std::unordered_map<std::string, RouteFigures> Routes;
-  std::unordered_map<std::string, std::uint32_t> SplitTurns;
+  /** What servers of each service got during its rollout: the sum of the
+   * target's shares less FullShare for each request at the target. */
+  std::unordered_map<std::string, std::int64_t> SplitTurns;
 };
 
 } // namespace chivefold
--- a/include/chivefold/mesh/rollout_driver.h
+++ b/include/chivefold/mesh/rollout_driver.h
@@ -61,8 +61,15 @@
   Duration FullShareTime = std::chrono::milliseconds(1500);
   /** Evidence against the version (1 is bad) above which no step is taken. */
   double MaxSuspicion = 0.5;
+  /** The same for one server, which has only a part of the evidence. */
+  double MaxServerSuspicion = 0.3;
+  /** Servers that must be suspicious before the version is: a single one may be
+   * slow or failing by itself. */
+  std::size_t MinSuspiciousServers = 2;
   /** Calls of the new version at a share before the next one. */
   double MinStepCalls = 12;
+  /** Calls after which a server counts as one that shows the version. */
+  double MinServerCalls = 4;
   SequentialTestSettings Test;
 };
 
@@ -78,10 +85,10 @@
   std::uint32_t ShareBasisPoints = 0;
   /** Servers of the target version that take work. */
   unsigned AbleServers = 0;
-  /** Requests in progress at servers of other versions. */
-  unsigned OldInFlight = 0;
   std::vector<KindCounts> OldCounts;
   std::vector<KindCounts> NewCounts;
+  /** The parts of NewCounts by the host of the server. */
+  std::map<Address, std::vector<KindCounts>> NewByHost;
 };
 
 enum class RolloutAction : std::uint8_t { None, SetShare, Complete, RollBack };
@@ -98,12 +105,16 @@
 
 /**
  * Raises the share on a timetable while the evidence allows it, and takes the
- * version back as soon as the sequential test calls it bad. Answers versions
- * that fail or slow down at once, late, under load or on one route. One object
- * for each order. Not thread-safe.
+ * version back as soon as the sequential test calls it bad on more than one
+ * server. Answers versions that fail or slow down at once, late, under load or
+ * on one route, and good versions of which one server is slow. One object for
+ * each order. Not thread-safe.
  */
 class RolloutDriver {
 public:
+  /** Servers whose own evidence is kept. */
+  static constexpr std::size_t MaxServers = 64;
+
   explicit RolloutDriver(RolloutSettings settings);
 
   /** Call a few times a second. The decision is repeated until the view shows
@@ -113,9 +124,12 @@
 private:
   double elapsedPart(TimePoint now, const RolloutView &view) const;
   bool mayComplete(TimePoint now, const RolloutView &view) const;
+  bool isShared(const RolloutView &view) const;
 
   RolloutSettings Settings;
   SequentialTest Test;
+  /** Evidence of each server of the new version. */
+  std::map<Address, SequentialTest> ServerTests;
   std::uint32_t SeenShare = 0;
   TimePoint ShareSince{};
 };
--- a/src/mesh/placement.cpp
+++ b/src/mesh/placement.cpp
@@ -21,6 +21,12 @@
 constexpr double Jitter = 0.01;
 /** Retry-after time when no server of the service takes work. */
 constexpr Duration NoServerRetryAfter = std::chrono::milliseconds(500);
+/** Part of a rollout's target servers that takes part at any share: with less
+ * the evidence is about single servers, with more a small share is no load. */
+constexpr double MinTargetPart = 0.5;
+/** Requests of a rollout's target that a daemon may catch up with at once, in
+ * shares. */
+constexpr std::int64_t MaxSplitCredit = 2 * std::int64_t{FullShare};
 
 /** Worth of a request by its urgency; the platform states only the order. */
 double worthOf(std::uint32_t priority) {
@@ -154,19 +160,56 @@
   return load.Limit > 0 && ahead >= load.Limit;
 }
 
-// The target of a rollout in its turns, "" for another version.
-std::string Placement::drawVersion(const PlacementRequest &request) {
-  const auto split = Versions.split(request.Service);
-  if (!split || split->ShareBasisPoints == 0) {
-    return {};
+// Whether the next request of a service is one for the target of its rollout.
+bool Placement::isTurnOfTarget(const std::string &service,
+                               const VersionPolicy::Split &split) const {
+  if (split.ShareBasisPoints == 0 || split.ShareBasisPoints == FullShare) {
+    return split.ShareBasisPoints == FullShare;
   }
-  auto &turn = SplitTurns[request.Service];
-  turn += split->ShareBasisPoints;
-  if (turn < FullShare) {
-    return {};
+  const auto it = SplitTurns.find(service);
+  const auto turn = it == SplitTurns.end() ? 0 : it->second;
+  return turn + split.ShareBasisPoints >= std::int64_t{FullShare};
+}
+
+// Counts a request that goes to a server (+1), or one that none has seen (-1):
+// while gates refuse work the share is one of what servers get.
+void Placement::countForSplit(const Address &peer, int sign) {
+  const auto *entry = Fleet.find(peer);
+  if (entry == nullptr) {
+    return;
   }
-  turn -= FullShare;
-  return split->Target;
+  const auto &server = entry->State.Server;
+  const auto split = Versions.split(server.Service);
+  if (!split) {
+    SplitTurns.erase(server.Service);
+    return;
+  }
+  const auto change =
+      std::int64_t{split->ShareBasisPoints} -
+      (server.Version == split->Target ? std::int64_t{FullShare} : 0);
+  auto &turn = SplitTurns[server.Service];
+  turn = std::min(turn + sign * change, MaxSplitCredit);
+}
+
+// Servers of a rollout's target that take part: few at a small share, so that
+// each has the load that it will have at the end.
+std::vector<Address>
+Placement::targetServers(const std::vector<Address> &hosts,
+                         const VersionPolicy::Split &split) const {
+  std::vector<Address> out;
+  for (const auto &it : hosts) {
+    const auto *entry = Fleet.find(it);
+    if (entry != nullptr && entry->State.Server.Version == split.Target &&
+        takesWork(*entry)) {
+      out.push_back(it);
+    }
+  }
+  std::sort(out.begin(), out.end());
+  const auto part = std::max(
+      static_cast<double>(split.ShareBasisPoints) / FullShare, MinTargetPart);
+  out.resize(static_cast<std::size_t>(
+      std::ceil(static_cast<double>(out.size()) * part)));
+  return out;
 }
 
 PlacementChoice Placement::choose(const PlacementRequest &request,
@@ -178,8 +221,13 @@
     return out;
   }
   const bool first = request.Tried == nullptr || request.Tried->empty();
-  const auto target = first ? drawVersion(request) : std::string();
   const auto split = Versions.split(request.Service);
+  // At a partial share a repeated request stays with the old version.
+  const bool wantsTarget = split &&
+                           (first || split->ShareBasisPoints == FullShare) &&
+                           isTurnOfTarget(request.Service, *split);
+  const auto targets = wantsTarget ? targetServers(hosts->second, *split)
+                                   : std::vector<Address>{};
   std::uniform_real_distribution<double> jitter(0, Jitter);
   double best = 0;
   const HostState *chosen = nullptr;
@@ -197,8 +245,9 @@
     ++out.Candidates;
     // Requests beyond the share of a rollout's target must not reach it.
     const bool isTarget = split && server.Version == split->Target;
-    const bool fits = isTarget == (split && target == split->Target);
-    if (!fits && isTarget) {
+    const bool fits = isTarget == wantsTarget;
+    if (isTarget &&
+        std::find(targets.begin(), targets.end(), it) == targets.end()) {
       continue;
     }
     double expectedUs = 0;
@@ -220,7 +269,10 @@
   return out;
 }
 
-void Placement::started(const Address &peer) { ++Loads[peer].Mine; }
+void Placement::started(const Address &peer) {
+  ++Loads[peer].Mine;
+  countForSplit(peer, 1);
+}
 
 void Placement::learnGate(Load &load, const GateState &gate, TimePoint now) {
   load.Limit = gate.Limit;
--- a/src/mesh/rollout_driver.cpp
+++ b/src/mesh/rollout_driver.cpp
@@ -64,11 +64,27 @@
 }
 
 bool RolloutDriver::mayComplete(TimePoint now, const RolloutView &view) const {
-  const bool late = elapsedPart(now, view) > (1 + Settings.CompleteFrom) / 2;
   return view.ShareBasisPoints == FullShare &&
          now >= ShareSince + Settings.FullShareTime &&
-         elapsedPart(now, view) >= Settings.CompleteFrom &&
-         (view.OldInFlight == 0 || late);
+         elapsedPart(now, view) >= Settings.CompleteFrom;
+}
+
+// Whether the evidence comes from more than one server, where more than one
+// has shown the version.
+bool RolloutDriver::isShared(const RolloutView &view) const {
+  std::size_t showing = 0;
+  std::size_t suspicious = 0;
+  for (const auto &it : view.NewByHost) {
+    const auto test = ServerTests.find(it.first);
+    if (test == ServerTests.end() ||
+        test->second.callsSinceRestart() < Settings.MinServerCalls) {
+      continue;
+    }
+    ++showing;
+    suspicious +=
+        test->second.assess().Suspicion > Settings.MaxServerSuspicion ? 1 : 0;
+  }
+  return suspicious >= std::min(Settings.MinSuspiciousServers, showing);
 }
 
 RolloutDecision RolloutDriver::tick(TimePoint now, const RolloutView &view) {
@@ -78,11 +94,19 @@
     Test.restart();
   }
   Test.update(view.OldCounts, view.NewCounts);
+  for (const auto &it : view.NewByHost) {
+    if (ServerTests.size() < MaxServers || ServerTests.count(it.first) > 0) {
+      ServerTests.try_emplace(it.first, Settings.Test)
+          .first->second.update(view.OldCounts, it.second);
+    }
+  }
   const auto assessment = Test.assess();
-  if (assessment.Result == TestVerdict::Bad) {
+  const bool shared = isShared(view);
+  if (assessment.Result == TestVerdict::Bad && shared) {
     return {RolloutAction::RollBack, 0, assessment.Evidence};
   }
-  if (view.AbleServers == 0 || assessment.Suspicion > Settings.MaxSuspicion) {
+  if (view.AbleServers == 0 ||
+      (shared && assessment.Suspicion > Settings.MaxSuspicion)) {
     return {};
   }
   if (mayComplete(now, view)) {
--- a/src/sidecar/rollout_service.cpp
+++ b/src/sidecar/rollout_service.cpp
@@ -304,6 +304,9 @@
   std::map<std::string, KindCounts> oldSums;
   std::map<std::string, KindCounts> newSums;
   for (const auto &it : drive.Hosts) {
+    if (it.second.Version == order.TargetVersion) {
+      view.NewByHost.emplace(it.first, it.second.Counts);
+    }
     add(it.second.Version == order.TargetVersion ? newSums : oldSums,
         it.second.Counts);
   }
--- a/tests/unit/mesh_state_test.cpp
+++ b/tests/unit/mesh_state_test.cpp
@@ -4,6 +4,7 @@
 #include "chivefold/mesh/version_policy.h"
 #include "record_codec.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 
 using namespace chivefold;
@@ -223,3 +224,41 @@
     CHECK((!bad || exposed < 50));
   }
 }
+
+// Guards against a good version that is taken back because one of its servers
+// fails, and against a bad one that stays because its servers are judged one by
+// one.
+TEST_CASE("one failing server is not a bad version", "[mesh]") {
+  for (const bool bad : {false, true}) {
+    RolloutDriver driver(quickRolloutSettings());
+    RolloutView view;
+    view.OrderedAt = at(0);
+    view.TimeAllowed = std::chrono::seconds(16);
+    view.AbleServers = 2;
+    KindCounts oldCounts;
+    std::array<KindCounts, 2> newCounts;
+    RolloutAction end = RolloutAction::None;
+    for (std::int64_t ms = 0; ms < 16'000 && end == RolloutAction::None;
+         ms += 300) {
+      KindCounts sum;
+      for (std::size_t i = 0; i < newCounts.size(); ++i) {
+        newCounts[i].Calls += 40 * view.ShareBasisPoints / FullShare;
+        newCounts[i].Errors = i == 0 || bad ? newCounts[i].Calls / 2 : 0;
+        sum.Calls += newCounts[i].Calls;
+        sum.Errors += newCounts[i].Errors;
+        view.NewByHost[{"10.0.0.1", static_cast<std::uint16_t>(i + 1)}] = {
+            newCounts[i]};
+      }
+      oldCounts.Calls += 80;
+      view.OldCounts = {oldCounts};
+      view.NewCounts = {sum};
+      const auto decision = driver.tick(at(ms), view);
+      if (decision.Action == RolloutAction::SetShare) {
+        view.ShareBasisPoints = decision.ShareBasisPoints;
+      } else {
+        end = decision.Action;
+      }
+    }
+    CHECK(end == (bad ? RolloutAction::RollBack : RolloutAction::Complete));
+  }
+}
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -3,6 +3,7 @@
 #include "record_codec.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace chivefold;
 
@@ -23,16 +24,32 @@
 
   PlacementFixture() {
     for (const auto *ip : {"10.0.0.1", "10.0.0.2", "10.1.0.1", "10.1.0.2"}) {
-      HostState host;
-      host.Peer = {ip, 1};
-      host.DataCentre = host.Peer.Ip[3] == '0' ? "here" : "there";
-      host.BootId = 1;
-      host.Server = {std::string("i-") + ip, "s", "v1", 4, ServerPhase::Ready};
-      Fleet.update(host, at(0));
+      addServer(ip, "v1");
     }
+  }
+
+  void addServer(const std::string &ip, const std::string &version) {
+    HostState host;
+    host.Peer = {ip, 1};
+    host.DataCentre = ip[3] == '0' ? "here" : "there";
+    host.BootId = 1;
+    host.Server = {"i-" + ip, "s", version, 4, ServerPhase::Ready};
+    Fleet.update(host, at(0));
     Servers.refresh();
   }
 
+  /** Gives v2 a share of the requests. */
+  void startRollout(std::uint32_t share, std::uint64_t offset = 10) {
+    Orders.apply({"rollout/s", R"({"targetVersion":"v2","durationS":9})", 3});
+    RolloutProgress progress;
+    progress.Service = "s";
+    progress.TargetVersion = "v2";
+    progress.OrderOffset = 3;
+    progress.ShareBasisPoints = share;
+    progress.Offset = offset;
+    REQUIRE(Versions.apply(progress));
+  }
+
   PlacementChoice choose(std::int64_t ms, std::uint32_t priority = 2) {
     PlacementRequest request;
     request.Service = "s";
@@ -129,3 +146,55 @@
   f.Orders.apply({"rollout/s", R"({"targetVersion":"v1","durationS":9})", 3});
   CHECK_FALSE(f.choose(1).Peer);
 }
+
+// Guards against a new version that gets more than its share of what servers
+// get while the gates of the old version refuse much of the work.
+TEST_CASE("refused requests do not count for a rollout's share",
+          "[placement]") {
+  PlacementFixture f;
+  f.addServer("10.0.0.3", "v2");
+  f.startRollout(1000);
+  int atTarget = 0;
+  int reached = 0;
+  for (int i = 0; i < 3000; ++i) {
+    const auto choice = f.choose(i);
+    REQUIRE(choice.Peer);
+    const bool isTarget = choice.Version == "v2";
+    f.Servers.started(*choice.Peer);
+    if (!isTarget && i % 3 != 0) {
+      f.Servers.notReached(*choice.Peer);
+    } else {
+      ++reached;
+      atTarget += isTarget ? 1 : 0;
+    }
+    f.Servers.cancelled(*choice.Peer);
+  }
+  CHECK(atTarget <= reached / 10 + 2);
+  CHECK(atTarget >= reached / 10 - 2);
+}
+
+// Guards against a version that fails only under load and is found when half
+// of all requests go there, since a small share over all of its servers is no
+// load.
+TEST_CASE("a small share loads few servers of the target", "[placement]") {
+  PlacementFixture f;
+  for (const auto *ip : {"10.0.0.3", "10.0.0.4", "10.1.0.3", "10.1.0.4"}) {
+    f.addServer(ip, "v2");
+  }
+  const std::vector<std::pair<std::uint32_t, std::size_t>> serversByShare{
+      {1000, 2}, {2500, 2}, {7500, 3}, {FullShare, 4}};
+  std::uint64_t offset = 10;
+  for (const auto &it : serversByShare) {
+    f.startRollout(it.first, ++offset);
+    std::set<Address> used;
+    for (int i = 0; i < 400; ++i) {
+      const auto choice = f.choose(i);
+      REQUIRE(choice.Peer);
+      f.Servers.started(*choice.Peer);
+      if (choice.Version == "v2") {
+        used.insert(*choice.Peer);
+      }
+    }
+    CHECK(used.size() == it.second);
+  }
+}
