Serve first what can be in time; do not repeat runs whose call failed

Errors of a server right after a refused call are told from others and not repeated. Attempts that fail are logged with the gate's state.

--- a/include/chivefold/daemon/call_message.h
+++ b/include/chivefold/daemon/call_message.h
@@ -41,6 +41,8 @@
   /** Idempotency key, or "". */
   std::string Key;
   TimePoint Deadline{};
+  /** Until then an answer has its full value; max() if it has no target. */
+  TimePoint InTimeUntil = TimePoint::max();
   std::uint32_t Depth = 0;
   std::uint32_t RetryBudget = 0;
   std::uint32_t Worth = 1;
@@ -72,6 +74,9 @@
   Duration RetryAfter{};
   /** State of the gate that decided; Limit is 0 if none did. */
   GateState Gate;
+  /** The server answered with an error since a call that it made was refused.
+   */
+  bool CallRefused = false;
 };
 
 using CallReply = std::function<void(CallResult)>;
--- a/include/chivefold/mesh/attempt_policy.h
+++ b/include/chivefold/mesh/attempt_policy.h
@@ -49,6 +49,9 @@
   AttemptEnd End = AttemptEnd::NoServer;
   /** Status of the server's answer, if it answered. */
   int Status = 0;
+  /** The server failed since a call that it made was refused: another server
+   * would fail in the same way. */
+  bool CallRefused = false;
   RequestKind Kind = RequestKind::AtMostOnce;
   /** Servers that may have run the request so far, this attempt included. */
   std::uint32_t Runs = 0;
--- a/include/chivefold/mesh/slot_gate.h
+++ b/include/chivefold/mesh/slot_gate.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -26,6 +27,8 @@
   TimePoint Deadline{};
   /** Names the route, for the expected time of service. */
   std::string Route;
+  /** Until then an answer has its full value. */
+  TimePoint InTimeUntil = TimePoint::max();
 };
 
 /** Decision on a newcomer; one that is refused was certainly not run. */
@@ -43,12 +46,17 @@
   /** Requests of one urgency, or of it and less urgent ones, that wait for one
    * slot at most. */
   double QueuePerSlot = 4;
+  /** The same for requests that will be late. */
+  double LateQueuePerSlot = 4;
+  /** Work is late if less than so many expected times of service are left until
+   * its target; services take longer than their mean in a third of calls. */
+  double TargetMargin = 1.5;
   /** Weight of the newest call in the expected time of service. */
   double TimeWeight = 0.1;
   /** Expected time of service before the first call of a route. */
   Duration FirstExpected = std::chrono::milliseconds(50);
-  /** Of so many starts one goes to less urgent work that waits, so that it is
-   * not starved while urgent work alone fills the server. */
+  /** Of so many starts one goes to work of another urgency that waits, so that
+   * it is not starved while one class alone fills the server. */
   std::uint32_t LessUrgentTurn = 6;
   Duration MinRetryAfter = std::chrono::milliseconds(50);
   Duration MaxRetryAfter = std::chrono::seconds(2);
@@ -56,10 +64,13 @@
 
 /**
  * Keeps a server's concurrency at its slots and a cold server's rate at what
- * it bears. What waits is served in order of priority, then of arrival. A
- * request that cannot end before its deadline is refused at once, on arrival
- * and when it becomes clear later. Answers the load pattern of a burst at a
- * server that never answers what it cannot queue. Not thread-safe.
+ * it bears. What can still be answered by its target goes before what will be
+ * late; within each, what waits is served in order of priority, then of
+ * arrival. A request that cannot end before its deadline is refused at once, on
+ * arrival and when it becomes clear later. Answers the load patterns of a burst
+ * at a server that never answers what it cannot queue and of an overload that
+ * lasts, in which serving by arrival alone makes nearly every answer late. Not
+ * thread-safe.
  */
 class SlotGate {
 public:
@@ -87,7 +98,8 @@
    */
   std::vector<GateRequestId> start(TimePoint now);
 
-  /** @return the waiting requests that can no longer end in time. */
+  /** @return the waiting requests that can no longer end before their
+   * deadline, and late ones beyond their bound; certainly not run. */
   std::vector<GateRequestId> expire(TimePoint now);
 
   /** A running request ended. @param latency empty if it says nothing of the
@@ -108,20 +120,30 @@
 
 private:
   struct Key {
+    bool Late;
     std::uint32_t Priority;
     std::uint64_t Sequence;
     bool operator<(const Key &o) const {
-      return Priority != o.Priority ? Priority < o.Priority
-                                    : Sequence < o.Sequence;
+      return std::tie(Late, Priority, Sequence) <
+             std::tie(o.Late, o.Priority, o.Sequence);
     }
   };
   struct Waiting {
     GateRequestId Id;
     TimePoint Deadline;
+    TimePoint InTimeUntil;
     std::string Route;
   };
-
-  std::map<Key, Waiting>::iterator nextWaiting();
+  using WaitingMap = std::map<Key, Waiting>;
+
+  bool isOtherKind(const Key &key) const;
+  WaitingMap::iterator nextWaiting();
+  WaitingMap::iterator behindFirstClass();
+  bool willBeLate(TimePoint inTimeUntil, const std::string &route,
+                  TimePoint start) const;
+  void moveLate(TimePoint now);
+  void dropExcessLate(std::vector<GateRequestId> &ids);
+  bool hasRoom(const Key &key) const;
   std::size_t startsBefore(const Key &key);
   bool mayStart(TimePoint now) const;
   bool isCold(TimePoint now) const { return now < ColdUntil; }
@@ -139,7 +161,7 @@
   std::uint64_t NextSequence = 0;
   /** Starts of urgent work since less urgent work had its turn. */
   std::uint32_t UrgentStarts = 0;
-  std::map<Key, Waiting> Queue;
+  WaitingMap Queue;
   std::unordered_map<GateRequestId, Key> QueuedIds;
   /** Route of each running request; bounded by Limit. */
   std::unordered_map<GateRequestId, std::string> Running;
--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -9,6 +9,7 @@
 #include "chivefold/daemon/call_message.h"
 #include "chivefold/io/http_client.h"
 #include "chivefold/io/logging.h"
+#include "chivefold/mesh/refused_calls.h"
 #include "chivefold/mesh/slot_gate.h"
 #include "chivefold/sidecar/ports.h"
 
@@ -66,6 +67,10 @@
   /** Ends a call: one that waits is dropped, one that runs is aborted. */
   void cancel(BackendCallId id);
 
+  /** Takes note of requests of this host that were not answered, some of which
+   * the server made. */
+  RefusedCalls &refusedCalls() { return Refused; }
+
   const BackendServerState &server() const { return Server; }
   GateState gate() const { return Gate.state(Loop.now()); }
   std::size_t openCalls() const { return Calls.size(); }
@@ -130,6 +135,7 @@
   std::uint64_t NextCall = 0;
   TimerId Timer = TimerId::None;
   TimePoint TimerAt{};
+  RefusedCalls Refused;
   std::map<std::string, KindCounts> Counts;
   std::string CountedVersion;
   Logger Lines{"backend"};
--- a/include/chivefold/sidecar/proxy_service.h
+++ b/include/chivefold/sidecar/proxy_service.h
@@ -10,6 +10,7 @@
 #include "chivefold/io/http_server.h"
 #include "chivefold/io/logging.h"
 #include "chivefold/io/peer_network.h"
+#include "chivefold/mesh/attempt_age.h"
 #include "chivefold/mesh/attempt_policy.h"
 #include "chivefold/mesh/placement.h"
 #include "chivefold/sidecar/backend_service.h"
@@ -61,6 +62,8 @@
 
   void answerUnrouted(const std::shared_ptr<HttpExchange> &exchange,
                       const ClientRequest &client);
+  TimePoint inTimeUntil(const MeshRoute &route, const ClientRequest &client,
+                        TimePoint now);
   std::string chooseService(const MeshRoute &route);
   void attempt(const RequestPtr &request);
   void sendTo(const RequestPtr &request, const PlacementChoice &choice);
@@ -90,6 +93,7 @@
   std::map<std::string, RetryTokens, std::less<>> Tokens;
   /** Running weights of a route's services, by route and service. */
   std::map<std::string, std::map<std::string, std::int64_t>> Weights;
+  AttemptAge Ages;
   Logger Lines{"proxy"};
 };
 
--- a/src/daemon/call_message.cpp
+++ b/src/daemon/call_message.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 #include <strings.h>
 
 namespace chivefold {
@@ -53,6 +54,9 @@
   return to;
 }
 
+/** Stands for "no target" on the wire. */
+constexpr auto NoTarget = std::numeric_limits<std::uint32_t>::max();
+
 std::uint32_t toMs(Duration d) {
   const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(d);
   return static_cast<std::uint32_t>(std::max<std::int64_t>(ms.count(), 0));
@@ -83,6 +87,9 @@
   to.body.assign(call.Body.begin(), call.Body.end());
   to.key = call.Key;
   to.time_left_ms = toMs(call.Deadline - now);
+  if (call.InTimeUntil != TimePoint::max()) {
+    to.in_time_left_ms = toMs(call.InTimeUntil - now);
+  }
   to.depth = call.Depth;
   to.retry_budget = call.RetryBudget;
   to.worth = call.Worth;
@@ -104,6 +111,9 @@
   call.Body.assign(request.body.begin(), request.body.end());
   call.Key = std::move(request.key);
   call.Deadline = now + std::chrono::milliseconds(request.time_left_ms);
+  if (request.in_time_left_ms != NoTarget) {
+    call.InTimeUntil = now + std::chrono::milliseconds(request.in_time_left_ms);
+  }
   call.Depth = request.depth;
   call.RetryBudget = request.retry_budget;
   call.Worth = request.worth;
@@ -143,6 +153,7 @@
   to.body.assign(result.Body.begin(), result.Body.end());
   to.retry_after_ms = toMs(result.RetryAfter);
   to.gate = gateToWire(result.Gate);
+  to.call_refused = result.CallRefused;
   return to;
 }
 
@@ -158,6 +169,7 @@
   result.Body.assign(answer.body.begin(), answer.body.end());
   result.RetryAfter = std::chrono::milliseconds(answer.retry_after_ms);
   result.Gate = gateFromWire(answer.gate.get());
+  result.CallRefused = answer.call_refused;
   return result;
 }
 
--- a/src/mesh/attempt_policy.cpp
+++ b/src/mesh/attempt_policy.cpp
@@ -25,7 +25,8 @@
 }
 
 bool worthRepeating(const AttemptFacts &facts) {
-  if (facts.End == AttemptEnd::Answered && facts.Status < FirstServerError) {
+  if (facts.End == AttemptEnd::Answered &&
+      (facts.Status < FirstServerError || facts.CallRefused)) {
     return false;
   }
   const bool ran =
--- a/src/mesh/slot_gate.cpp
+++ b/src/mesh/slot_gate.cpp
@@ -89,23 +89,47 @@
           std::clamp(wait, Tuning.MinRetryAfter, Tuning.MaxRetryAfter)};
 }
 
-// Starts before a newcomer's: those of all work that is as urgent or more, or,
-// by the turns of less urgent work, those of the less urgent work alone.
+// The first entry that is less urgent than the first one, or will be late.
+SlotGate::WaitingMap::iterator SlotGate::behindFirstClass() {
+  const auto &first = Queue.begin()->first;
+  return Queue.lower_bound(Key{first.Late, first.Priority + 1, 0});
+}
+
+// Starts before a newcomer's: those of all work that goes before it or, by the
+// turns of less urgent work, those of the less urgent work alone.
 std::size_t SlotGate::startsBefore(const Key &key) {
   const auto count = [](auto from, auto to) {
     return static_cast<std::size_t>(std::distance(from, to));
   };
   const auto inOrder = count(Queue.begin(), Queue.lower_bound(key));
-  if (Queue.empty() || key.Priority == Queue.begin()->first.Priority) {
+  if (Queue.empty() || (key.Late == Queue.begin()->first.Late &&
+                        key.Priority == Queue.begin()->first.Priority)) {
     return inOrder;
   }
-  const auto lessUrgent =
-      Queue.lower_bound(Key{Queue.begin()->first.Priority + 1, 0});
   const auto inTurn =
-      (count(lessUrgent, Queue.end()) + 1) * Tuning.LessUrgentTurn;
+      (count(behindFirstClass(), Queue.end()) + 1) * Tuning.LessUrgentTurn;
   return std::min(inOrder, inTurn);
 }
 
+bool SlotGate::willBeLate(TimePoint inTimeUntil, const std::string &route,
+                          TimePoint start) const {
+  if (inTimeUntil == TimePoint::max()) {
+    return false;
+  }
+  const auto needed =
+      Tuning.TargetMargin * static_cast<double>(expected(route).count());
+  return start + Duration(static_cast<std::int64_t>(needed)) > inTimeUntil;
+}
+
+// More urgent work does not fill the queue of the rest, and work that will be
+// late not that of work in time.
+bool SlotGate::hasRoom(const Key &key) const {
+  const auto from = Queue.lower_bound(Key{key.Late, key.Priority, 0});
+  const auto to = key.Late ? Queue.end() : Queue.lower_bound(Key{true, 0, 0});
+  const auto perSlot = key.Late ? Tuning.LateQueuePerSlot : Tuning.QueuePerSlot;
+  return static_cast<double>(std::distance(from, to)) < Limit * perSlot;
+}
+
 SlotOffer SlotGate::offer(const SlotWork &work, TimePoint now) {
   if (!Open) {
     return refuse(ErrorCode::NotReady, Tuning.MaxRetryAfter);
@@ -114,21 +138,38 @@
     begin(work.Id, work.Route, now);
     return {};
   }
-  const Key key{work.Priority, ++NextSequence};
-  const auto ahead = startsBefore(key);
-  const auto wait = expectedWait(ahead, now);
-  // Work that is more urgent does not fill the queue of the rest.
-  const auto sameOrLess =
-      std::distance(Queue.lower_bound(Key{work.Priority, 0}), Queue.end());
-  if (now + wait + expected(work.Route) > work.Deadline ||
-      static_cast<double>(sameOrLess) >= Limit * Tuning.QueuePerSlot) {
+  moveLate(now);
+  Key key{false, work.Priority, ++NextSequence};
+  auto wait = expectedWait(startsBefore(key), now);
+  if (willBeLate(work.InTimeUntil, work.Route, now + wait)) {
+    key.Late = true;
+    wait = expectedWait(startsBefore(key), now);
+  }
+  if (now + wait + expected(work.Route) > work.Deadline || !hasRoom(key)) {
     return refuse(ErrorCode::Overloaded, wait);
   }
-  Queue.emplace(key, Waiting{work.Id, work.Deadline, work.Route});
+  Queue.emplace(key,
+                Waiting{work.Id, work.Deadline, work.InTimeUntil, work.Route});
   QueuedIds.emplace(work.Id, key);
   return {Admitted::Queued, ErrorCode::Ok, {}};
 }
 
+// Puts what can no longer be answered by its target behind the rest.
+void SlotGate::moveLate(TimePoint now) {
+  const auto inTimeEnd = Queue.lower_bound(Key{true, 0, 0});
+  for (auto it = Queue.begin(); it != inTimeEnd;) {
+    if (!willBeLate(it->second.InTimeUntil, it->second.Route, now)) {
+      ++it;
+      continue;
+    }
+    auto key = it->first;
+    key.Late = true;
+    QueuedIds[it->second.Id] = key;
+    Queue.emplace(key, std::move(it->second));
+    it = Queue.erase(it);
+  }
+}
+
 void SlotGate::begin(GateRequestId id, const std::string &route,
                      TimePoint now) {
   Running.emplace(id, route);
@@ -136,11 +177,26 @@
   Starts.push_back(now);
 }
 
+// Whether the entry is of another urgency than the first one, so that it would
+// be starved while the first class alone fills the server.
+bool SlotGate::isOtherKind(const Key &key) const {
+  return key.Priority != Queue.begin()->first.Priority;
+}
+
 // Precondition: something waits.
-std::map<SlotGate::Key, SlotGate::Waiting>::iterator SlotGate::nextWaiting() {
+SlotGate::WaitingMap::iterator SlotGate::nextWaiting() {
   const auto first = Queue.begin();
-  const auto lessUrgent = Queue.lower_bound(Key{first->first.Priority + 1, 0});
-  if (lessUrgent == Queue.end()) {
+  auto other = Queue.end();
+  for (auto it = behindFirstClass(); it != Queue.end(); ++it) {
+    // In the turn of other work, too, what can be in time goes first.
+    const bool better =
+        other == Queue.end() || (it->first.Late == other->first.Late &&
+                                 it->first.Sequence < other->first.Sequence);
+    if (isOtherKind(it->first) && better) {
+      other = it;
+    }
+  }
+  if (other == Queue.end()) {
     UrgentStarts = 0;
     return first;
   }
@@ -148,14 +204,12 @@
     return first;
   }
   UrgentStarts = 0;
-  return std::min_element(lessUrgent, Queue.end(),
-                          [](const auto &a, const auto &b) {
-                            return a.first.Sequence < b.first.Sequence;
-                          });
+  return other;
 }
 
 std::vector<GateRequestId> SlotGate::start(TimePoint now) {
   std::vector<GateRequestId> ids;
+  moveLate(now);
   while (!Queue.empty() && mayStart(now)) {
     const auto first = nextWaiting();
     ids.push_back(first->second.Id);
@@ -168,6 +222,7 @@
 
 std::vector<GateRequestId> SlotGate::expire(TimePoint now) {
   std::vector<GateRequestId> ids;
+  moveLate(now);
   for (auto it = Queue.begin(); it != Queue.end();) {
     if (now + expected(it->second.Route) > it->second.Deadline) {
       ids.push_back(it->second.Id);
@@ -177,9 +232,23 @@
       ++it;
     }
   }
+  dropExcessLate(ids);
   return ids;
 }
 
+// Late work beyond its bound would mostly wait until its deadline in vain.
+void SlotGate::dropExcessLate(std::vector<GateRequestId> &ids) {
+  const auto first = Queue.lower_bound(Key{true, 0, 0});
+  auto excess = static_cast<double>(std::distance(first, Queue.end())) -
+                Limit * Tuning.LateQueuePerSlot;
+  for (; excess > 0; --excess) {
+    const auto last = std::prev(Queue.end());
+    ids.push_back(last->second.Id);
+    QueuedIds.erase(last->second.Id);
+    Queue.erase(last);
+  }
+}
+
 void SlotGate::finished(GateRequestId id, std::optional<Duration> latency) {
   const auto it = Running.find(id);
   if (it == Running.end()) {
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -166,7 +166,8 @@
     return id;
   }
   const auto offer =
-      Gate.offer({id, call.Worth, call.Deadline, call.Route}, Loop.now());
+      Gate.offer({id, call.Worth, call.Deadline, call.Route, call.InTimeUntil},
+                 Loop.now());
   if (offer.Kind == Admitted::Rejected) {
     refuse(reply, offer.Code, offer.RetryAfter);
     return id;
@@ -247,6 +248,9 @@
       outcome.Response.reason().Code == ErrorCode::ConnectionFailed;
   const bool silent = !outcome.Response && outcome.MayHaveRun;
   auto result = resultOf(it->second, outcome);
+  result.CallRefused = result.Result == Outcome::Answered &&
+                       result.Status >= FirstServerError &&
+                       Refused.explains(Loop.now());
   count(it->second, result, latency);
   const bool answered = result.Result == Outcome::Answered;
   finish(id, std::move(result),
@@ -280,8 +284,10 @@
 void BackendService::count(const Call &call, const CallResult &result,
                            Duration latency) {
   const bool ran = result.Result != Outcome::NotRun;
-  if (!ran || (Counts.size() >= MaxCountedRoutes &&
-               Counts.count(call.Message.Route) == 0)) {
+  // A refused call says nothing of the server that made it.
+  if (!ran || result.CallRefused ||
+      (Counts.size() >= MaxCountedRoutes &&
+       Counts.count(call.Message.Route) == 0)) {
     return;
   }
   auto &counts = Counts[call.Message.Route];
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -15,7 +15,7 @@
 constexpr Duration LeavingRetryAfter = std::chrono::milliseconds(100);
 constexpr std::size_t MaxWeightedRoutes = 8192;
 
-std::string targetOf(const HttpRequest &request) {
+std::string pathAndQuery(const HttpRequest &request) {
   return request.Query.empty() ? request.Path
                                : request.Path + "?" + request.Query;
 }
@@ -119,10 +119,11 @@
   auto &call = request->Call;
   call.Service = chooseService(*route);
   call.Method = received.Method;
-  call.Target = targetOf(received);
+  call.Target = pathAndQuery(received);
   call.Headers = received.Headers;
   call.Body = received.Body;
   call.Deadline = request->Deadline;
+  call.InTimeUntil = inTimeUntil(*route, client, now);
   call.Worth = route->Priority;
   call.Repeatable = route->Kind == RequestKind::Idempotent;
   call.Route = route->Name;
@@ -143,6 +144,17 @@
   attempt(request);
 }
 
+TimePoint ProxyService::inTimeUntil(const MeshRoute &route,
+                                    const ClientRequest &client,
+                                    TimePoint now) {
+  if (route.TargetLatency <= Duration::zero()) {
+    return TimePoint::max();
+  }
+  const auto age = client.TimeLeft ? Ages.note(route.Name, *client.TimeLeft)
+                                   : Duration::zero();
+  return now + route.TargetLatency - age;
+}
+
 // Smooth weighted round robin, so that each daemon keeps to the weights.
 std::string ProxyService::chooseService(const MeshRoute &route) {
   if (route.Services.size() == 1 || Weights.size() >= MaxWeightedRoutes) {
@@ -258,12 +270,16 @@
                          AttemptEnd end) {
   const auto now = Loop.now();
   auto &servers = Parts.Servers;
+  if (end == AttemptEnd::RefusedByGate || end == AttemptEnd::NotSent) {
+    servers.notReached(request.Peer);
+  }
   switch (end) {
   case AttemptEnd::Answered:
     tokens(request.Call.Service).earn();
     servers.answered(request.Peer, request.Route->Name, now - request.AttemptAt,
                      request.Call.Body.size() + result.Body.size(),
-                     result.Status >= 500, result.Gate, now);
+                     result.Status >= 500 && !result.CallRefused, result.Gate,
+                     now);
     break;
   case AttemptEnd::RefusedByGate:
     servers.refused(request.Peer, result.Gate, request.Route->Priority,
@@ -287,6 +303,7 @@
   AttemptFacts facts;
   facts.End = end;
   facts.Status = result.Status;
+  facts.CallRefused = result.CallRefused;
   facts.Kind = request->Route->Kind;
   facts.Runs = request->Runs;
   facts.MaxRuns = request->Route->MaxAttempts;
@@ -304,6 +321,10 @@
                 {"end", attemptEndName(end)},
                 {"error", errorName(result.Code)},
                 {"attempt", std::uint64_t{request->Attempts}},
+                {"slots", std::uint64_t{result.Gate.Limit}},
+                {"in_flight", std::uint64_t{result.Gate.InFlight}},
+                {"queued", std::uint64_t{result.Gate.Queued}},
+                {"expected_ms", toMs(facts.Expected)},
                 {"left_ms", toMs(facts.TimeLeft)},
                 {"again", step == NextStep::TryAgain ? "yes" : "no"}});
   }
@@ -418,6 +439,7 @@
   sample.Latency = held;
   Parts.Figures.record(now, sample);
   if (outcome != Outcome::Answered) {
+    Parts.Backend.refusedCalls().note(request->Route->Name, now);
     Lines.info("request failed",
                {{"request", request->Call.RequestId},
                 {"route", request->Route->Name},
