Quarantine requests that crash servers in the sidecar; restore the sequential test

Cause: the sidecar passed on a request that crashes each server that runs it as often as clients sent it, while chivefoldd refuses it after two deaths. A broken connection alone says little on the platform, where single answers are lost: what was interrupted counts as cause of a death only once the server is seen to be gone, by a refused connection or another start. Deaths spread as in chivefoldd, and with greetings for daemons that missed them.

--- a/include/chivefold/core/sequential_test.h
+++ b/include/chivefold/core/sequential_test.h
@@ -143,7 +143,6 @@
   void updateRate(Series &series, Measure measure, double bad, double total);
   void updateLatency(Series &series, const Window &growth);
   double baseRate(const Series &series, Measure measure) const;
-  double presentEvidence(const Series &series, Measure measure) const;
   double margin(Measure measure) const;
   double upperBound() const;
   double lowerBound() const;
--- a/include/chivefold/daemon/poison_service.h
+++ b/include/chivefold/daemon/poison_service.h
@@ -5,13 +5,13 @@
 #ifndef CHIVEFOLD_DAEMON_POISON_SERVICE_H
 #define CHIVEFOLD_DAEMON_POISON_SERVICE_H
 
-#include "chivefold/core/member_table.h"
 #include "chivefold/core/poison_table.h"
 #include "chivefold/daemon/call_message.h"
 #include "chivefold/io/logging.h"
 #include "chivefold/io/peer_network.h"
 #include "chivefold/io/reactor.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -34,7 +34,10 @@
   /** Deaths for a joining daemon; older ones are left out. */
   static constexpr std::size_t DeathsPerJoin = 2 * PoisonTable::MaxDigests;
 
-  PoisonService(Reactor &reactor, PeerNetwork &network, MemberTable &members);
+  /** @return up to so many reachable peers, drawn at random. */
+  using Peers = std::function<std::vector<Address>(std::size_t)>;
+
+  PoisonService(Reactor &reactor, PeerNetwork &network, Peers peers);
 
   /** The backend server beside the daemon at @p server died while it ran the
    * request. The daemon's address identifies the server, since the server's own
@@ -44,6 +47,9 @@
   /** A backend server answered the request. */
   void succeeded(RequestDigest digest);
 
+  /** @return whether any request is suspected or refused. */
+  bool isEmpty() const { return Table.size() == 0; }
+
   /** @return time until the request is accepted again, if it is refused. */
   std::optional<Duration> quarantined(RequestDigest digest) const;
 
@@ -60,7 +66,7 @@
 
   Reactor &Loop;
   PeerNetwork &Network;
-  MemberTable &Members;
+  Peers RandomPeers;
   PoisonTable Table;
   Logger Lines{"poison"};
 };
--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -7,6 +7,7 @@
 
 #include "chivefold/core/sequential_test.h"
 #include "chivefold/daemon/call_message.h"
+#include "chivefold/daemon/poison_service.h"
 #include "chivefold/io/http_client.h"
 #include "chivefold/io/logging.h"
 #include "chivefold/mesh/refused_calls.h"
@@ -24,6 +25,22 @@
 /** Identifies a call at the backend service; 0 is never used. */
 using BackendCallId = GateRequestId;
 
+/** What a backend service works with; all outlive it. */
+struct BackendParts {
+  const PlatformPorts &Ports;
+  const OperatorState &Orders;
+  const VersionPolicy &Versions;
+  PoisonService &Poison;
+};
+
+/** Where the server is. */
+struct BackendPlace {
+  Address Server;
+  /** Address of this daemon, which names the host among peers. */
+  Address Host;
+  std::string DataCentre;
+};
+
 /**
  * Passes calls to the backend server of this host, and only to the start of it
  * that last reported itself. The gate bounds what the server gets. Used on the
@@ -40,12 +57,20 @@
    * may run at most once: the server may have closed it already. */
   static constexpr Duration FreshFor = std::chrono::seconds(2);
 
+  /** Requests that were interrupted and whose server may have crashed. */
+  static constexpr std::size_t MaxInterrupted = 256;
+  /** A server that answers this long after requests were interrupted has not
+   * crashed; answers that had arrived before are handled by then. */
+  static constexpr Duration CrashGrace = std::chrono::milliseconds(50);
+  /** A server that crashed is back after some seconds; a later start says
+   * nothing of requests that were interrupted before. */
+  static constexpr Duration CrashMemory = std::chrono::seconds(15);
+
   /** @param changed runs when the state of the server changed. The references
    * outlive this object. */
   BackendService(Reactor &reactor, HttpClient &client,
-                 const PlatformPorts &ports, const OperatorState &orders,
-                 const VersionPolicy &versions, Address server,
-                 std::string dataCentre, std::function<void()> changed);
+                 const BackendParts &parts, BackendPlace place,
+                 std::function<void()> changed);
 
   /** Takes a report. @return InvalidRecord if it is of another host's server,
    * Conflict if a newer start or report is known. */
@@ -86,6 +111,7 @@
     CallReply Reply;
     HttpCallId Http = HttpCallId::None;
     TimePoint StartedAt{};
+    RequestDigest Digest = RequestDigest::None;
     bool WasCold = false;
   };
 
@@ -102,6 +128,8 @@
   void takeStart(const ServerReport &report);
   void updateGate();
   void noteSilence();
+  void noteInterruption(const Call &call, const CallResult &result);
+  void reportCrash();
   void count(const Call &call, const CallResult &result, Duration latency);
   bool wasEnded(const ServerReport &report) const;
   void endPresent();
@@ -111,7 +139,9 @@
   const PlatformPorts &Ports;
   const OperatorState &Orders;
   const VersionPolicy &Versions;
+  PoisonService &Poison;
   Address Upstream;
+  const Address Host;
   std::string DataCentre;
   std::function<void()> Changed;
 
@@ -136,6 +166,9 @@
   TimerId Timer = TimerId::None;
   TimePoint TimerAt{};
   RefusedCalls Refused;
+  /** Requests whose connections broke since the server last answered. */
+  std::vector<RequestDigest> Interrupted;
+  TimePoint InterruptedAt{};
   std::map<std::string, KindCounts> Counts;
   std::string CountedVersion;
   Logger Lines{"backend"};
--- a/include/chivefold/sidecar/fleet_service.h
+++ b/include/chivefold/sidecar/fleet_service.h
@@ -22,6 +22,8 @@
   std::uint64_t OperatorEnd = 0;
   Duration StoreAge{};
   std::uint64_t RolloutDigest = 0;
+  /** Requests that servers died of, as far as the sender knows. */
+  std::vector<std::unique_ptr<wire::PoisonDeathT>> Deaths;
 };
 
 /**
@@ -59,6 +61,9 @@
   /** Registers and starts probing. Precondition: called once. */
   void start();
 
+  /** @return up to @p max reachable hosts, drawn at random. */
+  std::vector<Address> randomHosts(std::size_t max);
+
   /** Tells all hosts that the state of this one changed. */
   void announce();
 
--- a/include/chivefold/sidecar/proxy_service.h
+++ b/include/chivefold/sidecar/proxy_service.h
@@ -29,6 +29,7 @@
   const OperatorState &Orders;
   Placement &Servers;
   BackendService &Backend;
+  const PoisonService &Poison;
   Metrics &Figures;
 };
 
--- a/src/core/sequential_test.cpp
+++ b/src/core/sequential_test.cpp
@@ -213,35 +213,14 @@
   }
 }
 
-// Evidence that the recent calls still bear out: a rate that rose for both
-// versions is seen at the new one first if it has the fewer calls. Otherwise it
-// stops short of a verdict.
-double SequentialTest::presentEvidence(const Series &series,
-                                       Measure measure) const {
-  constexpr double shortOfVerdict = 0.99;
-  const double evidence = series.Evidence[measure];
-  if (measure == Latency || evidence < upperBound()) {
-    return evidence;
-  }
-  const bool errors = measure != Refusals;
-  const double bad = errors ? series.New.Errors : series.New.Refusals;
-  const double total = series.New.Calls + (errors ? 0 : series.New.Refusals);
-  const bool worse =
-      bad > total * (baseRate(series, measure) + margin(measure) / 2);
-  return worse ? evidence : upperBound() * shortOfVerdict;
-}
-
 Assessment SequentialTest::assess() const {
   const Series *worst = &All;
   Measure measure = Errors;
-  double highest = presentEvidence(All, Errors);
   const auto consider = [&](const Series &series) {
     for (const auto it : {Errors, GrossErrors, Refusals, Latency}) {
-      const double evidence = presentEvidence(series, it);
-      if (evidence > highest) {
+      if (series.Evidence[it] > worst->Evidence[measure]) {
         worst = &series;
         measure = it;
-        highest = evidence;
       }
     }
   };
@@ -250,7 +229,7 @@
     consider(it.second);
   }
   Assessment out;
-  out.Suspicion = highest / upperBound();
+  out.Suspicion = worst->Evidence[measure] / upperBound();
   out.Evidence = describe(*worst, measure);
   const double low = lowerBound() * 0.999; // Not subject to rounding.
   if (out.Suspicion >= 1) {
--- a/src/daemon/poison_service.cpp
+++ b/src/daemon/poison_service.cpp
@@ -11,8 +11,8 @@
 }
 
 PoisonService::PoisonService(Reactor &reactor, PeerNetwork &network,
-                             MemberTable &members)
-    : Loop(reactor), Network(network), Members(members) {}
+                             Peers peers)
+    : Loop(reactor), Network(network), RandomPeers(std::move(peers)) {}
 
 void PoisonService::serverDied(const Address &server, RequestDigest digest) {
   const auto now = Loop.now();
@@ -64,7 +64,7 @@
              {{"digest", static_cast<std::uint64_t>(step.Digest)},
               {"server", toString(step.Server)},
               {"quarantined", refused ? "yes" : "no"}});
-  for (const auto &it : Members.randomPeers(Fanout, true)) {
+  for (const auto &it : RandomPeers(Fanout)) {
     Network.send(it, frameBody(std::move(*poisonToWire(step))));
   }
 }
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -20,14 +20,12 @@
 } // namespace
 
 BackendService::BackendService(Reactor &reactor, HttpClient &client,
-                               const PlatformPorts &ports,
-                               const OperatorState &orders,
-                               const VersionPolicy &versions, Address server,
-                               std::string dataCentre,
+                               const BackendParts &parts, BackendPlace place,
                                std::function<void()> changed)
-    : Loop(reactor), Client(client), Ports(ports), Orders(orders),
-      Versions(versions), Upstream(std::move(server)),
-      DataCentre(std::move(dataCentre)), Changed(std::move(changed)) {}
+    : Loop(reactor), Client(client), Ports(parts.Ports), Orders(parts.Orders),
+      Versions(parts.Versions), Poison(parts.Poison),
+      Upstream(std::move(place.Server)), Host(std::move(place.Host)),
+      DataCentre(std::move(place.DataCentre)), Changed(std::move(changed)) {}
 
 bool BackendService::wasEnded(const ServerReport &report) const {
   return std::any_of(EndedStarts.begin(), EndedStarts.end(),
@@ -83,6 +81,10 @@
 
 // Another start of a server has the address: what was known is void.
 void BackendService::takeStart(const ServerReport &report) {
+  if (Loop.now() < InterruptedAt + CrashMemory) {
+    reportCrash();
+  }
+  Interrupted.clear();
   endPresent();
   StartedAtMs = report.StartedAtMs;
   Upstream = report.Server;
@@ -165,6 +167,11 @@
     refuse(reply, reason, retryAfter);
     return id;
   }
+  const auto digest = digestOf(call);
+  if (const auto left = Poison.quarantined(digest)) {
+    refuse(reply, ErrorCode::Quarantined, *left);
+    return id;
+  }
   const auto offer =
       Gate.offer({id, call.Worth, call.Deadline, call.Route, call.InTimeUntil},
                  Loop.now());
@@ -175,6 +182,7 @@
   auto &entry = Calls[id];
   entry.Message = std::move(call);
   entry.Reply = std::move(reply);
+  entry.Digest = digest;
   if (offer.Kind == Admitted::Run) {
     send(id);
   } else {
@@ -252,10 +260,12 @@
                        result.Status >= FirstServerError &&
                        Refused.explains(Loop.now());
   count(it->second, result, latency);
+  noteInterruption(it->second, result);
   const bool answered = result.Result == Outcome::Answered;
   finish(id, std::move(result),
          answered ? std::optional<Duration>(latency) : std::nullopt);
   if (refusedConnection) {
+    reportCrash();
     SilentCalls = MaxSilentCalls;
     noteSilence();
   } else if (silent) {
@@ -266,6 +276,33 @@
   }
 }
 
+// A broken connection alone says nothing: the server may live and lose single
+// answers. What was interrupted is reported once the server is seen to be gone.
+void BackendService::noteInterruption(const Call &call,
+                                      const CallResult &result) {
+  const auto now = Loop.now();
+  if (result.Result == Outcome::Answered) {
+    if (result.Status < FirstServerError) {
+      Poison.succeeded(call.Digest);
+    }
+    if (now >= InterruptedAt + CrashGrace) {
+      Interrupted.clear();
+    }
+  } else if (result.Result == Outcome::Unknown &&
+             result.Code == ErrorCode::ConnectionFailed &&
+             Interrupted.size() < MaxInterrupted) {
+    Interrupted.push_back(call.Digest);
+    InterruptedAt = now;
+  }
+}
+
+void BackendService::reportCrash() {
+  for (const auto it : Interrupted) {
+    Poison.serverDied(Host, it);
+  }
+  Interrupted.clear();
+}
+
 // Takes the server as gone after several failures in a row; its next report
 // proves that it lives.
 void BackendService::noteSilence() {
--- a/src/sidecar/fleet_service.cpp
+++ b/src/sidecar/fleet_service.cpp
@@ -134,6 +134,19 @@
   }
 }
 
+std::vector<Address> FleetService::randomHosts(std::size_t max) {
+  std::vector<Address> known;
+  const auto self = Self().Peer;
+  for (const auto &it : Table.hosts()) {
+    if (it.second.reachable() && it.first != self) {
+      known.push_back(it.first);
+    }
+  }
+  std::vector<Address> out;
+  std::sample(known.begin(), known.end(), std::back_inserter(out), max, Random);
+  return out;
+}
+
 void FleetService::announce() {
   Table.update(Self(), Loop.now());
   for (const auto &it : Table.hosts()) {
@@ -170,7 +183,7 @@
 
 wire::HelloT FleetService::hello(bool withAddresses) const {
   const auto self = Self();
-  const auto extras = OwnExtras();
+  auto extras = OwnExtras();
   wire::HelloT out;
   out.address = addressToWire(self.Peer);
   out.data_centre = self.DataCentre;
@@ -182,6 +195,7 @@
   out.address_digest = Table.addressDigest();
   out.operator_end = extras.OperatorEnd;
   out.rollout_digest = extras.RolloutDigest;
+  out.deaths = std::move(extras.Deaths);
   out.store_age_ms = static_cast<std::uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(extras.StoreAge)
           .count());
@@ -223,6 +237,7 @@
   extras.OperatorEnd = hello.operator_end;
   extras.RolloutDigest = hello.rollout_digest;
   extras.StoreAge = std::chrono::milliseconds(hello.store_age_ms);
+  extras.Deaths = std::move(hello.deaths);
   OnHeard(state->Peer, extras);
   return hello.address_digest != Table.addressDigest();
 }
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -129,6 +129,14 @@
   call.Route = route->Name;
   call.CallerService = CallerService;
   call.RequestId = client.Id;
+  const auto quarantine = Parts.Poison.isEmpty()
+                              ? std::nullopt
+                              : Parts.Poison.quarantined(digestOf(call));
+  if (quarantine) {
+    Lines.info("refused a request that crashes servers",
+               {{"request", client.Id}, {"route", route->Name}});
+    return exchange->respond(refusal(503, *quarantine));
+  }
   Open.emplace(request.get(), request);
   const std::weak_ptr<Request> weak = request;
   request->Timer = Loop.schedule(request->Deadline, [this, weak] {
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -60,6 +60,7 @@
   Metrics Figures;
   HttpClient ServerHttp;
   PeerNetwork Network;
+  PoisonService Poison;
   BackendService Backend;
   FleetService Fleet;
   OrderFeed Feed;
@@ -84,17 +85,22 @@
       Network(Loop, Own.PeerListen,
               [this](const Address & /*link*/, wire::FrameBodyUnion &body,
                      const PeerResponder &respond) { onFrame(body, respond); }),
-      Backend(Loop, ServerHttp, ports, Orders, Versions, Own.BackendServer,
-              Own.DataCentre, [this] { onServerChanged(); }),
+      Poison(Loop, Network,
+             [this](std::size_t n) { return Fleet.randomHosts(n); }),
+      Backend(Loop, ServerHttp, {ports, Orders, Versions, Poison},
+              {Own.BackendServer, Own.PeerListen, Own.DataCentre},
+              [this] { onServerChanged(); }),
       Fleet(
           Loop, Network, store, Hosts, [this] { return self(); },
           [this] {
-            return GreetingExtras{Orders.end(), Feed.storeAge(),
-                                  Rollouts.digest()};
+            return GreetingExtras{
+                Orders.end(), Feed.storeAge(), Rollouts.digest(),
+                Poison.deathsToSend(PoisonService::DeathsPerProbe)};
           },
           [this](const Address &from, const GreetingExtras &extras) {
             Feed.onPeer(from, extras);
             Rollouts.onPeer(from, extras.RolloutDigest);
+            Poison.onDeaths(extras.Deaths);
           },
           [this] { Servers.refresh(); }, Seeds()),
       Feed(
@@ -103,7 +109,7 @@
       Rollouts(Loop, Network,
                {store, ports, Orders, Hosts, Servers, Backend, Versions},
                Own.PeerListen, [this] { Servers.refresh(); }),
-      Proxy(Loop, Network, {ports, Orders, Servers, Backend, Figures},
+      Proxy(Loop, Network, {ports, Orders, Servers, Backend, Poison, Figures},
             Own.PeerListen, Own.Service),
       CallerServer(Loop, Own.CallerListen,
                    [this](const std::shared_ptr<HttpExchange> &exchange) {
@@ -166,6 +172,8 @@
     return Feed.onFetch(respond);
   case wire::FrameBody::Rollouts:
     return Rollouts.onRollouts(*body.AsRollouts());
+  case wire::FrameBody::PoisonDeath:
+    return Poison.onDeath(*body.AsPoisonDeath());
   case wire::FrameBody::StatsRequest:
     return Rollouts.onStatsRequest(*body.AsStatsRequest(), respond);
   default:
--- a/tests/unit/backend_service_test.cpp
+++ b/tests/unit/backend_service_test.cpp
@@ -22,8 +22,14 @@
   OperatorState Orders{Records};
   VersionPolicy Versions{Orders};
   RawSocket Listener = RawSocket::listening();
-  BackendService Backend{
-      Loop, Client, Ports, Orders, Versions, Listener.address(), "z", [] {}};
+  PeerNetwork Network{Loop, {"127.0.0.1", 0}, [](auto &&...) {}};
+  PoisonService Poison{Loop, Network,
+                       [](std::size_t) { return std::vector<Address>(); }};
+  BackendService Backend{Loop,
+                         Client,
+                         {Ports, Orders, Versions, Poison},
+                         {Listener.address(), {"10.0.0.1", 1}, "z"},
+                         [] {}};
 
   ServerReport report(const std::string &instance, std::int64_t startedAt,
                       std::uint64_t sequence,
@@ -112,3 +118,34 @@
   server.join();
   CHECK(result->Result == Outcome::Unknown);
 }
+
+// Guards against a request that crashes one server after the other, and against
+// the quarantine of one whose answers were only lost.
+TEST_CASE("a request that crashes servers is refused", "[backend]") {
+  BackendFixture f;
+  f.configure();
+  REQUIRE(f.Backend.report(f.report("i", 1, 1)));
+  // Another server died of it.
+  f.Poison.serverDied({"10.0.0.2", 1}, digestOf(f.call()));
+  const auto lose = [&f] {
+    std::optional<CallResult> result;
+    std::thread server([&] {
+      const auto s = f.Listener.accepted();
+      s.readUntil("\r\n\r\n");
+    });
+    f.Backend.run(f.call(), [&](CallResult r) { result = std::move(r); });
+    REQUIRE(runUntil(f.Loop, [&] { return result.has_value(); }));
+    server.join();
+    CHECK(result->Result == Outcome::Unknown);
+  };
+  lose();
+  CHECK_FALSE(f.Poison.quarantined(digestOf(f.call())));
+  // The server starts anew: it had crashed.
+  REQUIRE(f.Backend.report(f.report("j", 2, 1)));
+  CHECK(f.Poison.quarantined(digestOf(f.call())));
+  std::optional<CallResult> refused;
+  f.Backend.run(f.call(), [&](CallResult r) { refused = std::move(r); });
+  REQUIRE(refused.has_value());
+  CHECK(refused->Result == Outcome::NotRun);
+  CHECK(refused->Code == ErrorCode::Quarantined);
+}
