Take a start after a clock went back for the successor of a silent one

A server that starts after the clock of its host went back states an earlier start time than its predecessor, so its reports were taken for late ones as long as the daemon beside it lived. It is now accepted once the predecessor was silent for 3.5 s and it has reported itself since.

--- a/include/chivefold/mesh/rollout_driver.h
+++ b/include/chivefold/mesh/rollout_driver.h
@@ -62,10 +62,10 @@
   /** Evidence against the version (1 is bad) above which no step is taken. */
   double MaxSuspicion = 0.5;
   /** The same for one server, which has only a part of the evidence. */
-  double MaxServerSuspicion = 0.3;
-  /** Servers that must be suspicious before the version is: a single one may be
-   * slow or failing by itself. */
-  std::size_t MinSuspiciousServers = 2;
+  double MaxServerSuspicion = 0.2;
+  /** Part of the servers of which more must be suspicious before the version
+   * is: a few may be slow or failing by themselves. */
+  double SuspiciousPart = 0.5;
   /** Calls of the new version at a share before the next one. */
   double MinStepCalls = 12;
   /** Calls after which a server counts as one that shows the version. */
@@ -105,8 +105,8 @@
 
 /**
  * Raises the share on a timetable while the evidence allows it, and takes the
- * version back as soon as the sequential test calls it bad on more than one
- * server. Answers versions that fail or slow down at once, late, under load or
+ * version back as soon as the sequential test calls it bad on most of its
+ * servers. Answers versions that fail or slow down at once, late, under load or
  * on one route, and good versions of which one server is slow. One object for
  * each order. Not thread-safe.
  */
--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -57,6 +57,11 @@
    * may run at most once: the server may have closed it already. */
   static constexpr Duration FreshFor = std::chrono::seconds(2);
 
+  /** A server with an earlier start time is taken for the successor of one that
+   * was silent for so long, if it has reported itself for so long: more than
+   * two and one of the intervals in which servers report. */
+  static constexpr Duration SilentFor = std::chrono::milliseconds(3500);
+  static constexpr Duration StaysFor = std::chrono::milliseconds(1000);
   /** Requests that were interrupted and whose server may have crashed. */
   static constexpr std::size_t MaxInterrupted = 256;
   /** A server that answers this long after requests were interrupted has not
@@ -131,6 +136,7 @@
   void noteInterruption(const Call &call, const CallResult &result);
   void reportCrash();
   void count(const Call &call, const CallResult &result, Duration latency);
+  bool replacesSilent(const ServerReport &report);
   bool wasEnded(const ServerReport &report) const;
   void endPresent();
 
@@ -145,7 +151,8 @@
   std::string DataCentre;
   std::function<void()> Changed;
 
-  struct Ended {
+  /** One start of a server. */
+  struct Start {
     std::string Instance;
     std::optional<std::int64_t> StartedAtMs;
   };
@@ -153,13 +160,18 @@
   BackendServerState Server;
   std::optional<std::int64_t> StartedAtMs;
   std::uint64_t Sequence = 0;
+  TimePoint ReportedAt{};
+  /** A server with an earlier start time that reports itself. */
+  Start Successor;
+  std::uint64_t SuccessorSequence = 0;
+  TimePoint SuccessorSince{};
   /** The server is cold until then, by its last report. */
   TimePoint ColdUntil{};
   /** Connections fail; nothing is sent until the next report. */
   bool Suspect = false;
   bool Leaving = false;
   std::uint32_t SilentCalls = 0;
-  std::deque<Ended> EndedStarts;
+  std::deque<Start> EndedStarts;
   SlotGate Gate;
   std::unordered_map<BackendCallId, Call> Calls;
   std::uint64_t NextCall = 0;
--- a/src/mesh/rollout_driver.cpp
+++ b/src/mesh/rollout_driver.cpp
@@ -69,8 +69,8 @@
          elapsedPart(now, view) >= Settings.CompleteFrom;
 }
 
-// Whether the evidence comes from more than one server, where more than one
-// has shown the version.
+// Whether the evidence comes from most of the servers that have shown the
+// version.
 bool RolloutDriver::isShared(const RolloutView &view) const {
   std::size_t showing = 0;
   std::size_t suspicious = 0;
@@ -84,7 +84,9 @@
     suspicious +=
         test->second.assess().Suspicion > Settings.MaxServerSuspicion ? 1 : 0;
   }
-  return suspicious >= std::min(Settings.MinSuspiciousServers, showing);
+  return static_cast<double>(suspicious) >
+             Settings.SuspiciousPart * static_cast<double>(showing) ||
+         showing == 0;
 }
 
 RolloutDecision RolloutDriver::tick(TimePoint now, const RolloutView &view) {
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -29,7 +29,7 @@
 
 bool BackendService::wasEnded(const ServerReport &report) const {
   return std::any_of(EndedStarts.begin(), EndedStarts.end(),
-                     [&](const Ended &it) {
+                     [&](const Start &it) {
                        return it.Instance == report.State.Instance &&
                               it.StartedAtMs == report.StartedAtMs;
                      });
@@ -44,7 +44,7 @@
   }
   const bool older =
       StartedAtMs && report.StartedAtMs && *report.StartedAtMs < *StartedAtMs;
-  if (older) {
+  if (older && !replacesSilent(report)) {
     return Reason{ErrorCode::Conflict, "a newer start is known"};
   }
   const bool sameStart = report.State.Instance == Server.Instance &&
@@ -56,6 +56,8 @@
     takeStart(report);
   }
   Sequence = report.Sequence;
+  ReportedAt = Loop.now();
+  Successor = {};
   const bool back = Suspect;
   Suspect = false;
   SilentCalls = 0;
@@ -79,6 +81,25 @@
   return Done{};
 }
 
+// A server that started after the clock of its host went back states an earlier
+// time than its predecessor. Late reports of an ended server are few and come
+// while the present one reports.
+bool BackendService::replacesSilent(const ServerReport &report) {
+  const auto now = Loop.now();
+  const bool same = Successor.Instance == report.State.Instance &&
+                    Successor.StartedAtMs == report.StartedAtMs;
+  if (!same) {
+    Successor = {report.State.Instance, report.StartedAtMs};
+    SuccessorSequence = report.Sequence;
+    SuccessorSince = now;
+    return false;
+  }
+  const bool reports = report.Sequence > SuccessorSequence;
+  SuccessorSequence = std::max(SuccessorSequence, report.Sequence);
+  return reports && now >= ReportedAt + SilentFor &&
+         now >= SuccessorSince + StaysFor;
+}
+
 // Another start of a server has the address: what was known is void.
 void BackendService::takeStart(const ServerReport &report) {
   if (Loop.now() < InterruptedAt + CrashMemory) {
@@ -321,10 +342,8 @@
 void BackendService::count(const Call &call, const CallResult &result,
                            Duration latency) {
   const bool ran = result.Result != Outcome::NotRun;
-  // A refused call says nothing of the server that made it.
-  if (!ran || result.CallRefused ||
-      (Counts.size() >= MaxCountedRoutes &&
-       Counts.count(call.Message.Route) == 0)) {
+  if (!ran || (Counts.size() >= MaxCountedRoutes &&
+               Counts.count(call.Message.Route) == 0)) {
     return;
   }
   auto &counts = Counts[call.Message.Route];
--- a/tests/unit/backend_service_test.cpp
+++ b/tests/unit/backend_service_test.cpp
@@ -95,6 +95,31 @@
   CHECK_FALSE(f.Backend.report(f.report("new", 30, 4)));
 }
 
+// Guards against a server that gets nothing as long as its daemon lives, since
+// the clock of its host went back before it started.
+TEST_CASE("a start after the clock went back replaces a silent one",
+          "[backend]") {
+  BackendFixture f;
+  f.configure();
+  REQUIRE(f.Backend.report(f.report("old", 100'000, 9)));
+  const auto began = f.Loop.now();
+  std::uint64_t sequence = 0;
+  while (f.Backend.server().Instance == "old" &&
+         f.Loop.now() < began + std::chrono::seconds(8)) {
+    const auto wait = f.Loop.now() + std::chrono::milliseconds(500);
+    runUntil(f.Loop, [&] { return f.Loop.now() >= wait; });
+    // The present server reports for two more seconds.
+    if (f.Loop.now() < began + std::chrono::seconds(2)) {
+      REQUIRE(f.Backend.report(f.report("old", 100'000, 10 + sequence)));
+    }
+    const auto taken = f.Backend.report(f.report("new", 90'000, ++sequence));
+    CHECK(static_cast<bool>(taken) == (f.Backend.server().Instance == "new"));
+  }
+  CHECK(f.Backend.server().Instance == "new");
+  CHECK(f.Loop.now() >= began + std::chrono::milliseconds(5000));
+  CHECK_FALSE(f.Backend.report(f.report("old", 100'000, 99)));
+}
+
 // Guards against "not run" for work that reached the server, and against work
 // that is sent to another start than the one that was chosen.
 TEST_CASE("a lost answer is unknown", "[backend]") {
