--- a/include/chivefold/io/http_client.h
+++ b/include/chivefold/io/http_client.h
@@ -50,12 +50,6 @@
 
 enum class HttpCallId : std::uint64_t { None = 0 };
 
-/** Counts since the start. */
-struct HttpClientFigures {
-  std::uint64_t Connections = 0;
-  std::uint64_t Requests = 0;
-};
-
 /**
  * Runs HTTP calls concurrently and keeps idle connections for reuse. A request
  * is sent once: the client never repeats one by itself. Used on the reactor's
@@ -95,8 +89,6 @@
   /** Closes all idle connections, for example when the server was replaced. */
   void closeIdle();
 
-  HttpClientFigures figures() const;
-
 private:
   struct Impl;
   std::unique_ptr<Impl> State;
--- a/include/chivefold/sidecar/fleet_service.h
+++ b/include/chivefold/sidecar/fleet_service.h
@@ -69,9 +69,6 @@
 
   void onHello(wire::HelloT &hello, const PeerResponder &respond);
 
-  /** @return whether the addresses of the fleet were read from the store. */
-  bool isRegistered() const { return Registered; }
-
 private:
   void registerSelf();
   void listHosts(const std::string &afterKey);
@@ -92,7 +89,6 @@
   std::mt19937_64 Random;
   std::unordered_set<Address> Greeting;
   bool Written = false;
-  bool Registered = false;
   std::uint32_t StoreFailures = 0;
   Logger Lines{"fleet"};
 };
--- a/include/chivefold/sidecar/order_feed.h
+++ b/include/chivefold/sidecar/order_feed.h
@@ -55,9 +55,6 @@
   /** @return time since the store last answered. */
   Duration storeAge() const;
 
-  /** @return whether the operator's records were read, from whomever. */
-  bool isComplete() const { return Complete; }
-
 private:
   void list(const std::string &afterKey);
   void onListed(const Result<KeyedBatch> &batch);
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -98,7 +98,6 @@
 
   Reactor &Loop;
   std::size_t MaxConnections;
-  HttpClientFigures Figures;
   std::uint64_t NextCall = 0;
   std::unordered_map<std::uint64_t, Entry> Calls;
   std::deque<std::uint64_t> Waiting;
@@ -163,7 +162,6 @@
       return false;
     }
     channel = std::make_shared<HttpChannel>(Loop, *this, entry.To.Server);
-    ++Figures.Connections;
     if (!channel->connect()) {
       Loop.schedule(Loop.now(), [this, id] {
         finish(id,
@@ -175,7 +173,6 @@
   }
   channel->User = static_cast<HttpCallId>(id);
   entry.Channel = channel;
-  ++Figures.Requests;
   auto bytes = encode(entry.Call, entry.To);
   entry.Call.Body.clear();
   channel->exchange(std::move(bytes), entry.Call);
@@ -314,6 +311,4 @@
   }
 }
 
-HttpClientFigures HttpClient::figures() const { return State->Figures; }
-
 } // namespace chivefold
--- a/src/sidecar/fleet_service.cpp
+++ b/src/sidecar/fleet_service.cpp
@@ -88,7 +88,6 @@
                if (batch->HasMore && !batch->Records.empty()) {
                  return listHosts(batch->Records.back().Key);
                }
-               Registered = true;
                Lines.info("registered", {{"hosts", Table.hosts().size()}});
              });
 }
--- /dev/null
+++ b/src/sidecar/rollout_wire.cpp
@@ -0,0 +1,66 @@
+#include "rollout_wire.h"
+
+namespace chivefold {
+
+std::unique_ptr<wire::RolloutProgressT> toWire(const RolloutProgress &from) {
+  auto to = std::make_unique<wire::RolloutProgressT>();
+  to->service = from.Service;
+  to->target_version = from.TargetVersion;
+  to->order_offset = from.OrderOffset;
+  to->phase = static_cast<std::uint8_t>(from.Phase);
+  to->share_basis_points = from.ShareBasisPoints;
+  to->elapsed_ms = static_cast<std::uint32_t>(from.Elapsed.count() / 1000);
+  to->rejected = from.Rejected;
+  to->base_version = from.BaseVersion;
+  to->offset = from.Offset;
+  return to;
+}
+
+std::optional<RolloutProgress> fromWire(const wire::RolloutProgressT &from) {
+  if (from.service.empty() || from.target_version.empty() ||
+      from.phase > static_cast<std::uint8_t>(RolloutPhase::RolledBack) ||
+      from.share_basis_points > FullShare) {
+    return std::nullopt;
+  }
+  RolloutProgress to;
+  to.Service = from.service;
+  to.TargetVersion = from.target_version;
+  to.OrderOffset = from.order_offset;
+  to.Phase = static_cast<RolloutPhase>(from.phase);
+  to.ShareBasisPoints = from.share_basis_points;
+  to.Elapsed = std::chrono::milliseconds(from.elapsed_ms);
+  to.Rejected = from.rejected;
+  to.BaseVersion = from.base_version;
+  to.Offset = from.offset;
+  return to;
+}
+
+std::string encode(const RolloutProgress &progress) {
+  flatbuffers::FlatBufferBuilder builder;
+  const auto content = toWire(progress);
+  builder.Finish(wire::RolloutProgress::Pack(builder, content.get()));
+  return {reinterpret_cast<const char *>(builder.GetBufferPointer()),
+          builder.GetSize()};
+}
+
+std::optional<RolloutProgress> decode(const KeyedRecord &record) {
+  if (!record.Value) {
+    return std::nullopt;
+  }
+  // Buffers are read in place, so they must be aligned.
+  const std::vector<std::uint8_t> bytes(record.Value->begin(),
+                                        record.Value->end());
+  flatbuffers::Verifier verifier(bytes.data(), bytes.size());
+  if (!verifier.VerifyBuffer<wire::RolloutProgress>(nullptr)) {
+    return std::nullopt;
+  }
+  wire::RolloutProgressT content;
+  flatbuffers::GetRoot<wire::RolloutProgress>(bytes.data())->UnPackTo(&content);
+  auto progress = fromWire(content);
+  if (progress) {
+    progress->Offset = record.Offset;
+  }
+  return progress;
+}
+
+} // namespace chivefold
