Let little late work wait at the gate

Clients that send requests behind others on a connection get no answer to those before the first is answered; one that waited late held up the rest until the client gave up on all.

Half a late request a slot waits, in place of four.

--- a/include/chivefold/mesh/slot_gate.h
+++ b/include/chivefold/mesh/slot_gate.h
@@ -46,8 +46,10 @@
   /** Requests of one urgency, or of it and less urgent ones, that wait for one
    * slot at most. */
   double QueuePerSlot = 4;
-  /** The same for requests that will be late. */
-  double LateQueuePerSlot = 4;
+  /** The same for requests that will be late. Few: clients that send requests
+   * behind others on a connection get no answer until those before are
+   * answered, so that one late request makes others late. */
+  double LateQueuePerSlot = 0.5;
   /** Work is late if less than so many expected times of service are left until
    * its target; services take longer than their mean in a third of calls. */
   double TargetMargin = 1.5;
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -232,3 +232,29 @@
   CHECK(calls.isCall("call"));
   CHECK_FALSE(calls.isCall("client"));
 }
+
+// Guards against requests that wait although they will be late: clients that
+// send others behind them get no answer to those before.
+TEST_CASE("late work does not wait in vain", "[overload]") {
+  SlotGate gate;
+  gate.open(4, 0);
+  const auto work = [](std::uint64_t id, std::int64_t inTimeUntil) {
+    return SlotWork{GateRequestId{id}, 1, at(5000), "r", at(inTimeUntil)};
+  };
+  std::uint64_t id = 0;
+  while (id < 4) {
+    CHECK(gate.offer(work(++id, 200), at(0)).Kind == Admitted::Run);
+  }
+  // Late on arrival: two wait, further ones are refused at once.
+  CHECK(gate.offer(work(++id, 10), at(0)).Kind == Admitted::Queued);
+  CHECK(gate.offer(work(++id, 10), at(0)).Kind == Admitted::Queued);
+  CHECK(gate.offer(work(++id, 10), at(0)).Kind == Admitted::Rejected);
+  // Those in time still find room, and are refused once they will be late.
+  while (id < 11) {
+    CHECK(gate.offer(work(++id, 300), at(0)).Kind == Admitted::Queued);
+  }
+  CHECK(gate.expire(at(100)).empty());
+  CHECK(gate.expire(at(290)).size() == 4);
+  gate.finished(GateRequestId{1}, milliseconds(20));
+  CHECK(gate.start(at(291)).size() == 1);
+}
