Do not take a server that answers as gone

Cause: three lost answers in a row closed the gate of a living server until its next report, up to 1.5 s later.

A server that answered within half a second lives.

--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -53,6 +53,9 @@
   /** Calls in a row without an answer after which the server is taken as gone
    * until it reports again. */
   static constexpr std::uint32_t MaxSilentCalls = 3;
+  /** A server that answered a call so recently lives, however many answers are
+   * lost: several times the usual time of service. */
+  static constexpr Duration AliveFor = std::chrono::milliseconds(500);
   /** An idle connection used before this time is not reused for a request that
    * may run at most once: the server may have closed it already. */
   static constexpr Duration FreshFor = std::chrono::seconds(2);
@@ -171,6 +174,7 @@
   bool Suspect = false;
   bool Leaving = false;
   std::uint32_t SilentCalls = 0;
+  TimePoint AnsweredAt{};
   std::deque<Start> EndedStarts;
   SlotGate Gate;
   std::unordered_map<BackendCallId, Call> Calls;
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -287,13 +287,13 @@
          answered ? std::optional<Duration>(latency) : std::nullopt);
   if (refusedConnection) {
     reportCrash();
-    SilentCalls = MaxSilentCalls;
     noteSilence();
-  } else if (silent) {
-    ++SilentCalls;
-    noteSilence();
-  } else {
+  } else if (!silent) {
     SilentCalls = 0;
+    AnsweredAt = Loop.now();
+  } else if (++SilentCalls >= MaxSilentCalls &&
+             Loop.now() >= AnsweredAt + AliveFor) {
+    noteSilence();
   }
 }
 
@@ -324,11 +324,9 @@
   Interrupted.clear();
 }
 
-// Takes the server as gone after several failures in a row; its next report
-// proves that it lives.
+// Takes the server as gone; its next report proves that it lives.
 void BackendService::noteSilence() {
-  if (SilentCalls < MaxSilentCalls || Suspect ||
-      Server.Phase != ServerPhase::Ready) {
+  if (Suspect || Server.Phase != ServerPhase::Ready) {
     return;
   }
   Suspect = true;
--- a/tests/unit/backend_service_test.cpp
+++ b/tests/unit/backend_service_test.cpp
@@ -174,3 +174,34 @@
   CHECK(refused->Result == Outcome::NotRun);
   CHECK(refused->Code == ErrorCode::Quarantined);
 }
+
+// Guards against a server that gets nothing until its next report since some of
+// its answers in a row were lost, though it lives.
+TEST_CASE("lost answers do not take a server out", "[backend]") {
+  BackendFixture f;
+  f.configure();
+  REQUIRE(f.Backend.report(f.report("i", 1, 1)));
+  const auto call = [&f](bool answers) {
+    std::optional<CallResult> result;
+    std::thread server([&f, answers] {
+      const auto s = f.Listener.accepted();
+      s.readUntil("\r\n\r\n");
+      if (answers) {
+        s.write("HTTP/1.1 500 Error\r\nConnection: close\r\n"
+                "Content-Length: 0\r\n\r\n");
+      }
+    });
+    f.Backend.run(f.call(), [&](CallResult r) { result = std::move(r); });
+    REQUIRE(runUntil(f.Loop, [&] { return result.has_value(); }));
+    server.join();
+  };
+  call(true);
+  for (int i = 0; i < 4; ++i) {
+    call(false);
+  }
+  CHECK(f.Backend.gate().Limit > 0);
+  const auto later = f.Loop.now() + BackendService::AliveFor;
+  runUntil(f.Loop, [&] { return f.Loop.now() >= later; });
+  call(false);
+  CHECK(f.Backend.gate().Limit == 0);
+}
