--- a/src/mesh/slot_gate.cpp
+++ b/src/mesh/slot_gate.cpp
@@ -239,9 +239,9 @@
 // Late work beyond its bound would mostly wait until its deadline in vain.
 void SlotGate::dropExcessLate(std::vector<GateRequestId> &ids) {
   const auto first = Queue.lower_bound(Key{true, 0, 0});
-  auto excess = static_cast<double>(std::distance(first, Queue.end())) -
-                Limit * Tuning.LateQueuePerSlot;
-  for (; excess > 0; --excess) {
+  const auto bound =
+      static_cast<std::ptrdiff_t>(std::ceil(Limit * Tuning.LateQueuePerSlot));
+  for (auto n = std::distance(first, Queue.end()); n > bound; --n) {
     const auto last = std::prev(Queue.end());
     ids.push_back(last->second.Id);
     QueuedIds.erase(last->second.Id);
--- a/src/sidecar/rollout_wire.cpp
+++ b/src/sidecar/rollout_wire.cpp
@@ -35,32 +35,4 @@
   return to;
 }
 
-std::string encode(const RolloutProgress &progress) {
-  flatbuffers::FlatBufferBuilder builder;
-  const auto content = toWire(progress);
-  builder.Finish(wire::RolloutProgress::Pack(builder, content.get()));
-  return {reinterpret_cast<const char *>(builder.GetBufferPointer()),
-          builder.GetSize()};
-}
-
-std::optional<RolloutProgress> decode(const KeyedRecord &record) {
-  if (!record.Value) {
-    return std::nullopt;
-  }
-  // Buffers are read in place, so they must be aligned.
-  const std::vector<std::uint8_t> bytes(record.Value->begin(),
-                                        record.Value->end());
-  flatbuffers::Verifier verifier(bytes.data(), bytes.size());
-  if (!verifier.VerifyBuffer<wire::RolloutProgress>(nullptr)) {
-    return std::nullopt;
-  }
-  wire::RolloutProgressT content;
-  flatbuffers::GetRoot<wire::RolloutProgress>(bytes.data())->UnPackTo(&content);
-  auto progress = fromWire(content);
-  if (progress) {
-    progress->Offset = record.Offset;
-  }
-  return progress;
-}
-
 } // namespace chivefold
