--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -40,15 +40,15 @@
 /** The server, with services that end at times drawn from a seed. */
 class Replay {
 public:
-  explicit Replay(const Load &load) : Load_(load) {}
+  explicit Replay(const Load &load) : Played(load) {}
 
   /** Plays 20 s through the real gate. */
   std::map<std::size_t, Served> throughGate() {
     SlotGate gate;
-    gate.open(Load_.Slots, 0);
+    gate.open(Played.Slots, 0);
     return play(
         [&](std::uint64_t id, const Request &r, std::int64_t ms) {
-          const auto &kind = Load_.Kinds[r.Kind];
+          const auto &kind = Played.Kinds[r.Kind];
           const SlotWork work{
               GateRequestId{id}, kind.Priority, at(ms + kind.DeadlineMs),
               "r" + std::to_string(r.Kind), at(ms + kind.TargetMs)};
@@ -73,11 +73,11 @@
     std::uint32_t running = 0;
     return play(
         [&](std::uint64_t id, const Request &, std::int64_t) {
-          if (running < Load_.Slots) {
+          if (running < Played.Slots) {
             ++running;
             return true;
           }
-          if (queue.size() < 4 * std::size_t{Load_.Slots}) {
+          if (queue.size() < 4 * std::size_t{Played.Slots}) {
             queue.push_back(id);
           }
           return false;
@@ -85,7 +85,7 @@
         [&](std::uint64_t, const Request &, std::int64_t) { --running; },
         [&](std::int64_t) {
           std::vector<std::uint64_t> ids;
-          while (running < Load_.Slots && !queue.empty()) {
+          while (running < Played.Slots && !queue.empty()) {
             ids.push_back(queue.front());
             queue.pop_front();
             ++running;
@@ -117,7 +117,7 @@
       auto &r = requests.at(id);
       r.StartedMs = ms;
       std::exponential_distribution<double> service(
-          1 / Load_.Kinds[r.Kind].ServiceMs);
+          1 / Played.Kinds[r.Kind].ServiceMs);
       ends.emplace(ms + 1 + static_cast<std::int64_t>(service(random)), id);
     };
     for (std::int64_t ms = 0; ms < 20'000; ++ms) {
@@ -126,7 +126,7 @@
         ends.erase(ends.begin());
         const auto &r = requests.at(id);
         finish(id, r, ms);
-        const auto &kind = Load_.Kinds[r.Kind];
+        const auto &kind = Played.Kinds[r.Kind];
         auto &served = out[r.Kind];
         served.InTime += ms - r.ArrivedMs <= kind.TargetMs ? 1 : 0;
         served.Late += ms - r.ArrivedMs > kind.TargetMs &&
@@ -134,8 +134,8 @@
                            ? 1
                            : 0;
       }
-      for (std::size_t kind = 0; kind < Load_.Kinds.size(); ++kind) {
-        std::poisson_distribution<int> count(Load_.Kinds[kind].PerSecond /
+      for (std::size_t kind = 0; kind < Played.Kinds.size(); ++kind) {
+        std::poisson_distribution<int> count(Played.Kinds[kind].PerSecond /
                                              1000);
         for (int n = count(random); n > 0; --n) {
           const auto id = ++lastId;
@@ -153,7 +153,7 @@
     return out;
   }
 
-  const Load Load_;
+  const Load Played;
 };
 
 double partInTime(const Served &served) {
