Keep requests that turn late at the gate

Cause: moving an entry behind the rest inserted it ahead of the end of the loop, which met it again, moved it onto itself and erased it. The request was neither started nor refused, so its caller got 504 at its deadline although no server had seen it, and a client's requests behind it waited as long. Found by reading the change; the loop now ends at the first late entry and moves the node.

--- a/src/mesh/slot_gate.cpp
+++ b/src/mesh/slot_gate.cpp
@@ -156,17 +156,15 @@
 
 // Puts what can no longer be answered by its target behind the rest.
 void SlotGate::moveLate(TimePoint now) {
-  const auto inTimeEnd = Queue.lower_bound(Key{true, 0, 0});
-  for (auto it = Queue.begin(); it != inTimeEnd;) {
-    if (!willBeLate(it->second.InTimeUntil, it->second.Route, now)) {
-      ++it;
-      continue;
+  for (auto it = Queue.begin(); it != Queue.end() && !it->first.Late;) {
+    const auto next = std::next(it);
+    if (willBeLate(it->second.InTimeUntil, it->second.Route, now)) {
+      auto node = Queue.extract(it);
+      node.key().Late = true;
+      QueuedIds[node.mapped().Id] = node.key();
+      Queue.insert(std::move(node));
     }
-    auto key = it->first;
-    key.Late = true;
-    QueuedIds[it->second.Id] = key;
-    Queue.emplace(key, std::move(it->second));
-    it = Queue.erase(it);
+    it = next;
   }
 }
 
--- a/tests/unit/slot_gate_test.cpp
+++ b/tests/unit/slot_gate_test.cpp
@@ -97,6 +97,41 @@
   CHECK(gate.expire(at(350)) == std::vector<GateRequestId>{GateRequestId{4}});
 }
 
+// Guards against a request that is neither started nor refused after it has
+// turned late: it would be held until its caller gives up.
+TEST_CASE("work that turns late is kept", "[slot_gate]") {
+  SlotGate gate;
+  gate.open(2, 0);
+  const auto offer = [&gate](std::uint64_t id, std::uint32_t priority,
+                             std::int64_t inTimeUntilMs) {
+    return gate.offer(
+        {GateRequestId{id}, priority, at(10'000), "r", at(inTimeUntilMs)},
+        at(0));
+  };
+  offer(1, 1, 5000);
+  offer(2, 1, 5000);
+  for (const auto &it :
+       {offer(3, 2, 200), offer(4, 0, 300), offer(5, 1, 400)}) {
+    REQUIRE(it.Kind == Admitted::Queued);
+  }
+  std::vector<GateRequestId> seen;
+  for (const auto ms : {150, 250, 350, 450}) {
+    for (const auto it : gate.expire(at(ms))) {
+      seen.push_back(it);
+    }
+  }
+  gate.finished(GateRequestId{1}, milliseconds(10));
+  gate.finished(GateRequestId{2}, milliseconds(10));
+  for (std::size_t n = 0; n < 3; ++n) {
+    for (const auto it : gate.start(at(500))) {
+      seen.push_back(it);
+      gate.finished(it, milliseconds(10));
+    }
+  }
+  CHECK(seen.size() == 3);
+  CHECK(gate.state(at(500)).Queued == 0);
+}
+
 // Guards against a cold server that falls over: in no second may it get more
 // than the rate that it states, however fast it answers.
 TEST_CASE("a cold server gets its rate", "[slot_gate]") {
