Share what daemon and sidecar wrote twice

One copy each of: the counts of a version on the wire and their sums (move_service had them), the checks and the parsing of a command line, the sending of what a socket takes, the headers of a message, and the least status of a server's error.

--- a/include/chivefold/core/call_policy.h
+++ b/include/chivefold/core/call_policy.h
@@ -14,6 +14,9 @@
 
 namespace chivefold {
 
+/** Least status of an answer with which a server says that it failed. */
+constexpr int FirstServerError = 500;
+
 /** Retries that a call tree starts with, when its caller states none. */
 constexpr std::uint32_t DefaultRetryBudget = 2;
 /** Larger numbers in a header are cut to this. */
--- a/include/chivefold/core/sequential_test.h
+++ b/include/chivefold/core/sequential_test.h
@@ -31,6 +31,17 @@
   double LatencySquareSumMs2 = 0;
 };
 
+/** Sums of counts by route and kind. Not thread-safe. */
+class KindSums {
+public:
+  void add(const std::vector<KindCounts> &counts);
+  /** @return one entry for each route and kind. */
+  std::vector<KindCounts> all() const;
+
+private:
+  std::map<std::pair<std::string, std::string>, KindCounts> Sums;
+};
+
 /** What the test says about the new version. */
 enum class TestVerdict : std::uint8_t { Undecided, Good, Bad };
 
--- a/include/chivefold/daemon/wire_convert.h
+++ b/include/chivefold/daemon/wire_convert.h
@@ -8,6 +8,7 @@
 #include "chivefold/core/member_table.h"
 #include "chivefold/core/poison_table.h"
 #include "chivefold/core/safe_steps.h"
+#include "chivefold/core/sequential_test.h"
 #include "chivefold/core/types.h"
 #include "peer_generated.h"
 
@@ -45,6 +46,12 @@
 std::unique_ptr<wire::PoisonDeathT> poisonToWire(const PoisonStep &step);
 std::optional<PoisonStep> poisonFromWire(const wire::PoisonDeathT &death);
 
+/** Converts counts of a version. Thread-safe. */
+std::vector<std::unique_ptr<wire::KindStatsT>>
+statsToWire(const std::vector<KindCounts> &counts, const std::string &version);
+std::vector<KindCounts>
+statsFromWire(const std::vector<std::unique_ptr<wire::KindStatsT>> &stats);
+
 /** @return a frame body that holds @p table. Thread-safe. */
 template <class T> wire::FrameBodyUnion frameBody(T table) {
   wire::FrameBodyUnion body;
--- a/src/core/call_policy.cpp
+++ b/src/core/call_policy.cpp
@@ -8,7 +8,6 @@
 constexpr std::uint16_t StatusTooMany = 429;
 constexpr std::uint16_t StatusNotRun = 503;
 constexpr std::uint16_t StatusUnknown = 504;
-constexpr std::uint16_t FirstServerError = 500;
 
 } // namespace
 
--- a/src/core/sequential_test.cpp
+++ b/src/core/sequential_test.cpp
@@ -59,6 +59,28 @@
   return Calls > 0 ? std::max(0.0, LatencySquareMs2 / Calls - mean * mean) : 0;
 }
 
+void KindSums::add(const std::vector<KindCounts> &counts) {
+  for (const auto &it : counts) {
+    auto &sum = Sums[{it.PathPrefix, it.Kind}];
+    sum.PathPrefix = it.PathPrefix;
+    sum.Kind = it.Kind;
+    sum.Calls += it.Calls;
+    sum.Errors += it.Errors;
+    sum.Refusals += it.Refusals;
+    sum.LatencySumUs += it.LatencySumUs;
+    sum.LatencySquareSumMs2 += it.LatencySquareSumMs2;
+  }
+}
+
+std::vector<KindCounts> KindSums::all() const {
+  std::vector<KindCounts> out;
+  out.reserve(Sums.size());
+  for (const auto &it : Sums) {
+    out.push_back(it.second);
+  }
+  return out;
+}
+
 SequentialTest::SequentialTest(const SequentialTestSettings &settings)
     : Settings(settings) {
   All.Label = "all routes";
--- a/src/daemon/call_runner.cpp
+++ b/src/daemon/call_runner.cpp
@@ -122,7 +122,8 @@
     // that may arrive after the next attempt; both name the same server, so the
     // death counts once.
     Poison.serverDied(call.Server, call.Digest);
-  } else if (result.Result == Outcome::Answered && result.Status < 500) {
+  } else if (result.Result == Outcome::Answered &&
+             result.Status < FirstServerError) {
     Poison.succeeded(call.Digest);
   }
 }
@@ -201,7 +202,8 @@
   if (result.Code == ErrorCode::Quarantined) {
     // Says nothing about the server.
     Routes.cancelled(call.Server);
-  } else if (result.Result == Outcome::Answered && result.Status < 500) {
+  } else if (result.Result == Outcome::Answered &&
+             result.Status < FirstServerError) {
     Routes.answered(call.Server, latency, result.Gate, now);
   } else if (result.Result == Outcome::NotRun &&
              result.Code != ErrorCode::ConnectionFailed) {
--- a/src/daemon/gate_service.cpp
+++ b/src/daemon/gate_service.cpp
@@ -1,5 +1,7 @@
 #include "chivefold/daemon/gate_service.h"
 
+#include "chivefold/core/call_policy.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -107,7 +109,8 @@
   if (result == ServerResult::ConnectionFailed &&
       answer.Result == Outcome::Unknown) {
     Poison.serverDied(Own.PeerListen, open.Digest);
-  } else if (answer.Result == Outcome::Answered && answer.Status < 500) {
+  } else if (answer.Result == Outcome::Answered &&
+             answer.Status < FirstServerError) {
     Poison.succeeded(open.Digest);
   }
 }
@@ -116,8 +119,8 @@
                                  ServerResult &result) const {
   if (outcome.Response) {
     auto &response = *outcome.Response;
-    result =
-        response.Status >= 500 ? ServerResult::ServerError : ServerResult::Ok;
+    result = response.Status >= FirstServerError ? ServerResult::ServerError
+                                                 : ServerResult::Ok;
     const auto said = headerValue(response.Headers, CallHeaders::Outcome);
     if (said == outcomeName(Outcome::NotRun)) {
       // The backend server shed the request and says so.
@@ -260,7 +263,7 @@
     return;
   }
   ++counts.Calls;
-  if (result.Result == Outcome::Unknown || result.Status >= 500) {
+  if (result.Result == Outcome::Unknown || result.Status >= FirstServerError) {
     ++counts.Errors;
   }
   const auto us = static_cast<std::uint64_t>(latency.count());
--- a/src/daemon/move_service.cpp
+++ b/src/daemon/move_service.cpp
@@ -5,53 +5,6 @@
 #include <algorithm>
 
 namespace chivefold {
-namespace {
-
-KindCounts fromWire(const wire::KindStatsT &stats) {
-  KindCounts counts;
-  counts.PathPrefix = stats.path_prefix;
-  counts.Kind = stats.kind;
-  counts.Calls = stats.calls;
-  counts.Errors = stats.errors;
-  counts.Refusals = stats.refusals;
-  counts.LatencySumUs = stats.latency_sum_us;
-  counts.LatencySquareSumMs2 = stats.latency_square_sum_ms2;
-  return counts;
-}
-
-std::unique_ptr<wire::KindStatsT> toWire(const KindCounts &counts,
-                                         const std::string &version) {
-  auto stats = std::make_unique<wire::KindStatsT>();
-  stats->version = version;
-  stats->path_prefix = counts.PathPrefix;
-  stats->kind = counts.Kind;
-  stats->calls = counts.Calls;
-  stats->errors = counts.Errors;
-  stats->refusals = counts.Refusals;
-  stats->latency_sum_us = counts.LatencySumUs;
-  stats->latency_square_sum_ms2 = counts.LatencySquareSumMs2;
-  return stats;
-}
-
-/** Adds @p counts to the entry of the same route and kind. */
-void addTo(std::vector<KindCounts> &sums, const KindCounts &counts) {
-  const auto it =
-      std::find_if(sums.begin(), sums.end(), [&counts](const KindCounts &s) {
-        return s.PathPrefix == counts.PathPrefix && s.Kind == counts.Kind;
-      });
-  if (it == sums.end()) {
-    sums.push_back(counts);
-    return;
-  }
-  it->Calls += counts.Calls;
-  it->Errors += counts.Errors;
-  it->Refusals += counts.Refusals;
-  it->LatencySumUs += counts.LatencySumUs;
-  it->LatencySquareSumMs2 += counts.LatencySquareSumMs2;
-}
-
-} // namespace
-
 MoveService::MoveService(Reactor &reactor, PeerNetwork &network,
                          MoveParts parts, const Settings &settings,
                          DaemonId self)
@@ -124,31 +77,24 @@
   }
   wire::StatsRequestT request;
   request.service = Own.Service;
-  Network.request(member.Peer, frameBody(std::move(request)),
-                  sentAt + StatsTimeout,
-                  [this, gate, version = member.ServiceVersion,
-                   sentAt](const PeerOutcome &outcome) {
-                    const auto *answer = outcome.Answer
-                                             ? outcome.Answer->AsStatsAnswer()
-                                             : nullptr;
-                    if (answer == nullptr || Driven == Version::None) {
-                      return;
-                    }
-                    GateStats stats{version, {}, sentAt, true};
-                    for (const auto &it : answer->stats) {
-                      stats.Counts.push_back(fromWire(*it));
-                    }
-                    Stats[gate] = std::move(stats);
-                  });
+  Network.request(
+      member.Peer, frameBody(std::move(request)), sentAt + StatsTimeout,
+      [this, gate, version = member.ServiceVersion,
+       sentAt](const PeerOutcome &outcome) {
+        const auto *answer =
+            outcome.Answer ? outcome.Answer->AsStatsAnswer() : nullptr;
+        if (answer == nullptr || Driven == Version::None) {
+          return;
+        }
+        Stats[gate] = {version, statsFromWire(answer->stats), sentAt, true};
+      });
 }
 
 void MoveService::onStatsRequest(const wire::StatsRequestT &request,
                                  const PeerResponder &respond) const {
   wire::StatsAnswerT answer;
   if (request.service == Own.Service) {
-    for (const auto &it : Parts.Gate.counts()) {
-      answer.stats.push_back(toWire(it, Own.ServiceVersion));
-    }
+    answer.stats = statsToWire(Parts.Gate.counts(), Own.ServiceVersion);
   }
   if (respond) {
     respond(frameBody(std::move(answer)));
@@ -156,16 +102,18 @@
 }
 
 void MoveService::addCounts(const MoveState &move, MoveView &view) const {
+  KindSums oldSums;
+  KindSums newSums;
   for (const auto &it : Stats) {
     const bool isNew = it.second.ServiceVersion == move.ToVersion;
-    for (const auto &counts : it.second.Counts) {
-      addTo(isNew ? view.NewCounts : view.OldCounts, counts);
-    }
+    (isNew ? newSums : oldSums).add(it.second.Counts);
     if (it.second.Live &&
         (!view.CountsRead || it.second.ReadAt < *view.CountsRead)) {
       view.CountsRead = it.second.ReadAt;
     }
   }
+  view.OldCounts = oldSums.all();
+  view.NewCounts = newSums.all();
 }
 
 unsigned MoveService::rank(const MoveState &move) const {
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -1,21 +1,10 @@
 #include "chivefold/daemon/settings.h"
 
-#include "chivefold/daemon/version.h"
-
-#include <CLI/CLI.hpp>
+#include "chivefold/daemon/command_line.h"
 
 namespace chivefold {
 namespace {
 
-constexpr int BadSettingsExitCode = 2;
-
-std::string checkAddress(const std::string &text) {
-  if (parseAddress(text)) {
-    return {};
-  }
-  return "expected IP:PORT, got '" + text + "'";
-}
-
 std::string checkName(const std::string &text) {
   const auto bad = text.find_first_not_of(
       "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.");
@@ -35,22 +24,6 @@
   return "expected http://IP:PORT, got '" + text + "'";
 }
 
-CLI::Option *addAddress(CLI::App &app, const std::string &flag, Address &to,
-                        const std::string &help) {
-  const auto set = [&to](const std::string &text) { to = *parseAddress(text); };
-  return app.add_option_function<std::string>(flag, set, help)
-      ->check(checkAddress)
-      ->type_name("IP:PORT");
-}
-
-CLI::Option *withEnvironment(CLI::Option *option) {
-  std::string name = "CHIVEFOLD_";
-  for (const char c : option->get_lnames().front()) {
-    name += c == '-' ? '_' : static_cast<char>(std::toupper(c));
-  }
-  return option->envname(name);
-}
-
 void addListeners(CLI::App &app, Settings &s) {
   withEnvironment(addAddress(app, "--caller-listen", s.CallerListen,
                              "address for callers (HTTP)"))
@@ -96,10 +69,7 @@
       ->delimiter(',')
       ->check(checkAddress)
       ->type_name("IP:PORT,...");
-  withEnvironment(
-      app.add_option("--log-level", s.LogLevel, "least level that is logged"))
-      ->check(CLI::IsMember({"trace", "debug", "info", "warn", "error"}))
-      ->capture_default_str();
+  addLogLevel(app, s.LogLevel);
   withEnvironment(app.add_option("--drain-ms", s.DrainMs,
                                  "time that a planned stop may take"))
       ->check(CLI::Range(0, 600000))
@@ -112,21 +82,12 @@
   ParsedSettings parsed;
   Settings s;
   CLI::App app("chivefoldd: proxy, gate and member beside one backend server");
-  app.set_version_flag("--version", std::string(ProgramVersion));
   addListeners(app, s);
   addIdentity(app, s);
   addRest(app, s);
-  try {
-    app.parse(argc, argv);
-  } catch (const CLI::CallForHelp &) {
-    parsed.Output = app.help();
-    return parsed;
-  } catch (const CLI::CallForVersion &) {
-    parsed.Output = std::string(ProgramVersion) + "\n";
-    return parsed;
-  } catch (const CLI::ParseError &e) {
-    parsed.Output = std::string("chivefoldd: ") + e.what() + "\n";
-    parsed.ExitCode = BadSettingsExitCode;
+  if (auto exit = parseCommandLine(app, "chivefoldd", argc, argv)) {
+    parsed.Output = std::move(exit->Output);
+    parsed.ExitCode = exit->Code;
     return parsed;
   }
   parsed.Value = s;
--- a/src/daemon/wire_convert.cpp
+++ b/src/daemon/wire_convert.cpp
@@ -126,4 +126,41 @@
                     std::chrono::milliseconds(death.age_ms), death.cleared};
 }
 
+std::vector<std::unique_ptr<wire::KindStatsT>>
+statsToWire(const std::vector<KindCounts> &counts, const std::string &version) {
+  std::vector<std::unique_ptr<wire::KindStatsT>> to;
+  to.reserve(counts.size());
+  for (const auto &it : counts) {
+    auto stats = std::make_unique<wire::KindStatsT>();
+    stats->version = version;
+    stats->path_prefix = it.PathPrefix;
+    stats->kind = it.Kind;
+    stats->calls = it.Calls;
+    stats->errors = it.Errors;
+    stats->refusals = it.Refusals;
+    stats->latency_sum_us = it.LatencySumUs;
+    stats->latency_square_sum_ms2 = it.LatencySquareSumMs2;
+    to.push_back(std::move(stats));
+  }
+  return to;
+}
+
+std::vector<KindCounts>
+statsFromWire(const std::vector<std::unique_ptr<wire::KindStatsT>> &stats) {
+  std::vector<KindCounts> to;
+  to.reserve(stats.size());
+  for (const auto &it : stats) {
+    KindCounts counts;
+    counts.PathPrefix = it->path_prefix;
+    counts.Kind = it->kind;
+    counts.Calls = it->calls;
+    counts.Errors = it->errors;
+    counts.Refusals = it->refusals;
+    counts.LatencySumUs = it->latency_sum_us;
+    counts.LatencySquareSumMs2 = it->latency_square_sum_ms2;
+    to.push_back(std::move(counts));
+  }
+  return to;
+}
+
 } // namespace chivefold
--- a/src/io/http_channel.cpp
+++ b/src/io/http_channel.cpp
@@ -1,5 +1,7 @@
 #include "http_channel.h"
 
+#include "http_io.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
@@ -145,20 +147,9 @@
     Loop.cancel(ConnectTimer);
     ConnectTimer = TimerId::None;
   }
-  while (Written < Output.size()) {
-    const auto n = send(Fd, Output.data() + Written, Output.size() - Written,
-                        MSG_NOSIGNAL);
-    if (n < 0 && errno == EINTR) {
-      continue;
-    }
-    if (n < 0 && errno == EAGAIN) {
-      break;
-    }
-    if (n <= 0) {
-      // A response that refuses the request may have come before the reset.
-      return receive();
-    }
-    Written += static_cast<std::size_t>(n);
+  if (!sendAvailable(Fd, Output, Written)) {
+    // A response that refuses the request may have come before the reset.
+    return receive();
   }
   updateWatch();
 }
@@ -249,10 +240,7 @@
   HttpResponse out;
   auto message = Current->release();
   out.Status = static_cast<int>(message.result_int());
-  for (const auto &it : message) {
-    out.Headers.push_back(
-        {std::string(it.name_string()), std::string(it.value())});
-  }
+  out.Headers = headersOf(message);
   out.Body = std::move(message.body());
   return out;
 }
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -1,5 +1,7 @@
 #include "http_connection.h"
 
+#include "http_io.h"
+
 #include <array>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
@@ -96,10 +98,7 @@
   const auto n = target.find('?');
   out.Path = target.substr(0, n);
   out.Query = n == std::string::npos ? "" : target.substr(n + 1);
-  for (const auto &it : message) {
-    out.Headers.push_back(
-        {std::string(it.name_string()), std::string(it.value())});
-  }
+  out.Headers = headersOf(message);
   out.Body = std::move(message.body());
   return out;
 }
@@ -318,19 +317,8 @@
 }
 
 void HttpConnection::write() {
-  while (Written < Output.size()) {
-    const auto n = send(Fd, Output.data() + Written, Output.size() - Written,
-                        MSG_NOSIGNAL);
-    if (n < 0 && errno == EINTR) {
-      continue;
-    }
-    if (n < 0 && errno == EAGAIN) {
-      break;
-    }
-    if (n <= 0) {
-      return shut();
-    }
-    Written += static_cast<std::size_t>(n);
+  if (!sendAvailable(Fd, Output, Written)) {
+    return shut();
   }
   Blocked = Written < Output.size();
   if (!Blocked) {
--- a/src/mesh/attempt_policy.cpp
+++ b/src/mesh/attempt_policy.cpp
@@ -9,8 +9,6 @@
 constexpr std::array<std::string_view, 6> EndNames{
     "answered", "declined", "refused-by-gate", "not-sent", "lost", "no-server"};
 
-constexpr int FirstServerError = 500;
-
 /** What to say when no attempt follows. */
 NextStep finalStep(const AttemptFacts &facts) {
   switch (facts.End) {
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -1,12 +1,13 @@
 #include "chivefold/sidecar/backend_service.h"
 
+#include "chivefold/core/call_policy.h"
+
 #include <algorithm>
 
 namespace chivefold {
 
 namespace {
 
-constexpr int FirstServerError = 500;
 /** Routes counted for rollouts; further ones are not. */
 constexpr std::size_t MaxCountedRoutes = 256;
 /** Time after the deadline in which the server's own answer is awaited. */
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -286,8 +286,8 @@
     tokens(request.Call.Service).earn();
     servers.answered(request.Peer, request.Route->Name, now - request.AttemptAt,
                      request.Call.Body.size() + result.Body.size(),
-                     result.Status >= 500 && !result.CallRefused, result.Gate,
-                     now);
+                     result.Status >= FirstServerError && !result.CallRefused,
+                     result.Gate, now);
     break;
   case AttemptEnd::RefusedByGate:
     servers.refused(request.Peer, result.Gate, request.Route->Priority,
@@ -442,7 +442,8 @@
   sample.Service = request->Call.Service;
   sample.Kind = request->Route->Name;
   sample.Result = outcome;
-  sample.Good = outcome == Outcome::Answered && response.Status < 500 &&
+  sample.Good = outcome == Outcome::Answered &&
+                response.Status < FirstServerError &&
                 held <= request->Route->TargetLatency;
   sample.Latency = held;
   Parts.Figures.record(now, sample);
--- a/src/sidecar/rollout_service.cpp
+++ b/src/sidecar/rollout_service.cpp
@@ -39,27 +39,6 @@
 
 bool isFinal(RolloutPhase phase) { return phase != RolloutPhase::Running; }
 
-void add(std::map<std::string, KindCounts> &sums,
-         const std::vector<KindCounts> &counts) {
-  for (const auto &it : counts) {
-    auto &sum = sums[it.PathPrefix];
-    sum.PathPrefix = it.PathPrefix;
-    sum.Calls += it.Calls;
-    sum.Errors += it.Errors;
-    sum.LatencySumUs += it.LatencySumUs;
-    sum.LatencySquareSumMs2 += it.LatencySquareSumMs2;
-  }
-}
-
-std::vector<KindCounts> values(const std::map<std::string, KindCounts> &sums) {
-  std::vector<KindCounts> out;
-  out.reserve(sums.size());
-  for (const auto &it : sums) {
-    out.push_back(it.second);
-  }
-  return out;
-}
-
 } // namespace
 
 RolloutService::RolloutService(Reactor &reactor, PeerNetwork &network,
@@ -225,16 +204,10 @@
             return;
           }
           HostCounts counts;
-          for (const auto &stats : answer->stats) {
-            counts.Version = stats->version;
-            KindCounts one;
-            one.PathPrefix = stats->path_prefix;
-            one.Calls = stats->calls;
-            one.Errors = stats->errors;
-            one.LatencySumUs = stats->latency_sum_us;
-            one.LatencySquareSumMs2 = stats->latency_square_sum_ms2;
-            counts.Counts.push_back(std::move(one));
+          if (!answer->stats.empty()) {
+            counts.Version = answer->stats.back()->version;
           }
+          counts.Counts = statsFromWire(answer->stats);
           found->second.Hosts[peer] = std::move(counts);
         });
   }
@@ -247,16 +220,8 @@
   }
   wire::StatsAnswerT out;
   if (Parts.Backend.server().Service == request.service) {
-    for (const auto &it : Parts.Backend.counts()) {
-      auto stats = std::make_unique<wire::KindStatsT>();
-      stats->version = Parts.Backend.countedVersion();
-      stats->path_prefix = it.PathPrefix;
-      stats->calls = it.Calls;
-      stats->errors = it.Errors;
-      stats->latency_sum_us = it.LatencySumUs;
-      stats->latency_square_sum_ms2 = it.LatencySquareSumMs2;
-      out.stats.push_back(std::move(stats));
-    }
+    out.stats =
+        statsToWire(Parts.Backend.counts(), Parts.Backend.countedVersion());
   }
   respond(frameBody(std::move(out)));
 }
@@ -270,17 +235,17 @@
   view.ShareBasisPoints = progress.ShareBasisPoints;
   view.AbleServers =
       Parts.Servers.ableServers(order.Service, order.TargetVersion);
-  std::map<std::string, KindCounts> oldSums;
-  std::map<std::string, KindCounts> newSums;
+  KindSums oldSums;
+  KindSums newSums;
   for (const auto &it : drive.Hosts) {
-    if (it.second.Version == order.TargetVersion) {
+    const bool isNew = it.second.Version == order.TargetVersion;
+    (isNew ? newSums : oldSums).add(it.second.Counts);
+    if (isNew) {
       view.NewByHost.emplace(it.first, it.second.Counts);
     }
-    add(it.second.Version == order.TargetVersion ? newSums : oldSums,
-        it.second.Counts);
   }
-  view.OldCounts = values(oldSums);
-  view.NewCounts = values(newSums);
+  view.OldCounts = oldSums.all();
+  view.NewCounts = newSums.all();
   return view;
 }
 
