Simplify gate, placement and proxy; split the choice by weights off

The gate takes entries out in one place. Placement looks up once which hosts take work, and has one copy of the load of a server, of the end of a request and of the average of failures. Starts of a server are compared in one place. Greetings no longer build the whole state of the host to compare its address. The weighted choice of a service is a decision of its own in mesh, with a test.

--- a/include/chivefold/mesh/placement.h
+++ b/include/chivefold/mesh/placement.h
@@ -146,7 +146,7 @@
   };
 
   bool takesWork(const HostEntry &entry) const;
-  bool hasLocalServer(const std::vector<Address> &hosts) const;
+  std::vector<const HostState *> able(const std::vector<Address> &hosts) const;
   bool isFull(const HostState &host, TimePoint now) const;
   bool usable(const HostState &host, const PlacementRequest &request,
               TimePoint now) const;
@@ -155,11 +155,14 @@
                TimePoint now, double &expectedUs) const;
   double expectedTime(const HostState &host, double routeTime, TimePoint now,
                       double &errors) const;
-  void learnGate(Load &load, const GateState &gate, TimePoint now);
+  double ahead(const Load &load, TimePoint now) const;
+  Load &release(const Address &peer);
+  static void learnGate(Load &load, const GateState &gate, TimePoint now);
+  void learnError(Load &load, double weight, bool failed, TimePoint now) const;
   bool isTurnOfTarget(const std::string &service,
                       const VersionPolicy::Split &split) const;
   void countForSplit(const Address &peer, int sign);
-  std::vector<Address> targetServers(const std::vector<Address> &hosts,
+  std::vector<Address> targetServers(const std::vector<const HostState *> &able,
                                      const VersionPolicy::Split &split) const;
 
   const FleetTable &Fleet;
--- a/include/chivefold/mesh/slot_gate.h
+++ b/include/chivefold/mesh/slot_gate.h
@@ -137,13 +137,16 @@
     std::string Route;
   };
   using WaitingMap = std::map<Key, Waiting>;
+  /** All that will be late stands from here on. */
+  static constexpr Key FirstLate{true, 0, 0};
 
-  bool isOtherKind(const Key &key) const;
   WaitingMap::iterator nextWaiting();
   WaitingMap::iterator behindFirstClass();
   bool willBeLate(TimePoint inTimeUntil, const std::string &route,
                   TimePoint start) const;
   void moveLate(TimePoint now);
+  WaitingMap::iterator remove(WaitingMap::iterator it,
+                              std::vector<GateRequestId> &ids);
   void dropExcessLate(std::vector<GateRequestId> &ids);
   bool hasRoom(const Key &key) const;
   std::size_t startsBefore(const Key &key);
--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -140,7 +140,6 @@
   void reportCrash();
   void count(const Call &call, const CallResult &result, Duration latency);
   bool replacesSilent(const ServerReport &report);
-  bool wasEnded(const ServerReport &report) const;
   void endPresent();
 
   Reactor &Loop;
@@ -158,6 +157,9 @@
   struct Start {
     std::string Instance;
     std::optional<std::int64_t> StartedAtMs;
+    bool operator==(const Start &o) const {
+      return Instance == o.Instance && StartedAtMs == o.StartedAtMs;
+    }
   };
 
   BackendServerState Server;
--- a/include/chivefold/sidecar/fleet_service.h
+++ b/include/chivefold/sidecar/fleet_service.h
@@ -51,10 +51,11 @@
   using Heard =
       std::function<void(const Address &from, const GreetingExtras &)>;
 
-  /** @param self returns the present state of this host. @param changed runs
-   * when the table changed. The references outlive this object. */
+  /** @param own address of this host. @param self returns its present state.
+   * @param changed runs when the table changed. The references outlive this
+   * object. */
   FleetService(Reactor &reactor, PeerNetwork &network, KeyedStore &store,
-               FleetTable &table, std::function<HostState()> self,
+               FleetTable &table, Address own, std::function<HostState()> self,
                Extras extras, Heard heard, std::function<void()> changed,
                std::uint64_t seed);
 
@@ -82,6 +83,7 @@
   PeerNetwork &Network;
   KeyedStore &Store;
   FleetTable &Table;
+  const Address Own;
   std::function<HostState()> Self;
   Extras OwnExtras;
   Heard OnHeard;
--- a/include/chivefold/sidecar/proxy_service.h
+++ b/include/chivefold/sidecar/proxy_service.h
@@ -13,6 +13,7 @@
 #include "chivefold/mesh/attempt_age.h"
 #include "chivefold/mesh/attempt_policy.h"
 #include "chivefold/mesh/placement.h"
+#include "chivefold/mesh/service_split.h"
 #include "chivefold/sidecar/backend_service.h"
 #include "chivefold/sidecar/ports.h"
 
@@ -65,7 +66,6 @@
                       const ClientRequest &client);
   TimePoint inTimeUntil(const MeshRoute &route, const ClientRequest &client,
                         TimePoint now);
-  std::string chooseService(const MeshRoute &route);
   void attempt(const RequestPtr &request);
   void sendTo(const RequestPtr &request, const PlacementChoice &choice);
   void onResult(const RequestPtr &request, CallResult result);
@@ -74,14 +74,13 @@
   void decide(const RequestPtr &request, CallResult result, AttemptEnd end);
   void deliver(const RequestPtr &request, CallResult result);
   void refuse(const RequestPtr &request, const CallResult &result);
-  void reportUnknown(const RequestPtr &request, const CallResult &result);
+  void reportUnknown(const RequestPtr &request);
   void finish(const RequestPtr &request, HttpResponse response,
               Outcome outcome);
   void onDeadline(const RequestPtr &request);
   void abandon(const RequestPtr &request);
   void stopAttempt(Request &request);
   RetryTokens &tokens(const std::string &service);
-  HttpResponse refusal(int status, Duration retryAfter) const;
 
   Reactor &Loop;
   PeerNetwork &Network;
@@ -92,8 +91,7 @@
   std::unordered_map<Request *, RequestPtr> Open;
   /** Bounded by the services of the configuration. */
   std::map<std::string, RetryTokens, std::less<>> Tokens;
-  /** Running weights of a route's services, by route and service. */
-  std::map<std::string, std::map<std::string, std::int64_t>> Weights;
+  ServiceSplit Split;
   AttemptAge Ages;
   Logger Lines{"proxy"};
 };
--- a/src/mesh/placement.cpp
+++ b/src/mesh/placement.cpp
@@ -89,28 +89,34 @@
                    static_cast<double>(Settings.HalfLife.count()));
 }
 
+// Requests at the server or on their way: those of this daemon, and of others
+// as its gate last told.
+double Placement::ahead(const Load &load, TimePoint now) const {
+  return load.Mine + load.Others * decay(load.GateAt, now);
+}
+
 // Time until the answer in microseconds, and the share of failed calls.
 double Placement::expectedTime(const HostState &host, double routeTime,
                                TimePoint now, double &errors) const {
   double slowness = 1;
-  double ahead = 0;
+  double before = 0;
   double slots = std::max<double>(host.Server.Slots, 1);
   const auto it = Loads.find(host.Peer);
   if (it != Loads.end()) {
     const auto &load = it->second;
     slowness = 1 + (load.Slowness - 1) * decay(load.SlownessAt, now);
     errors = load.Errors * decay(load.ErrorsAt, now);
-    ahead = load.Mine + load.Others * decay(load.GateAt, now);
+    before = ahead(load, now);
     if (load.Limit > 0 && load.Limit < slots) {
       slots = load.Limit;
     }
   }
   // Up to its slots a server works at full speed; beyond, work waits. A nearly
   // full one is used last among equals.
-  const double wait = std::max(0.0, ahead + 1 - slots) / slots;
+  const double wait = std::max(0.0, before + 1 - slots) / slots;
   constexpr double pressure = 0.15;
   return routeTime * slowness *
-         (1 + wait + pressure * std::min(1.0, ahead / slots));
+         (1 + wait + pressure * std::min(1.0, before / slots));
 }
 
 double Placement::value(const HostState &host, const PlacementRequest &request,
@@ -140,14 +146,6 @@
   return out;
 }
 
-bool Placement::hasLocalServer(const std::vector<Address> &hosts) const {
-  return std::any_of(hosts.begin(), hosts.end(), [&](const Address &it) {
-    const auto *entry = Fleet.find(it);
-    return entry != nullptr && entry->State.DataCentre == DataCentre &&
-           takesWork(*entry);
-  });
-}
-
 // A full server in another data centre does not help: work would wait there as
 // it does here, and its bytes would cross.
 bool Placement::isFull(const HostState &host, TimePoint now) const {
@@ -156,8 +154,7 @@
     return false;
   }
   const auto &load = it->second;
-  const double ahead = load.Mine + load.Others * decay(load.GateAt, now);
-  return load.Limit > 0 && ahead >= load.Limit;
+  return load.Limit > 0 && ahead(load, now) >= load.Limit;
 }
 
 // Whether the next request of a service is one for the target of its rollout.
@@ -191,17 +188,28 @@
   turn = std::min(turn + sign * change, MaxSplitCredit);
 }
 
+// The hosts of a service whose servers take work.
+std::vector<const HostState *>
+Placement::able(const std::vector<Address> &hosts) const {
+  std::vector<const HostState *> out;
+  for (const auto &it : hosts) {
+    const auto *entry = Fleet.find(it);
+    if (entry != nullptr && takesWork(*entry)) {
+      out.push_back(&entry->State);
+    }
+  }
+  return out;
+}
+
 // Servers of a rollout's target that take part: few at a small share, so that
 // each has the load that it will have at the end.
 std::vector<Address>
-Placement::targetServers(const std::vector<Address> &hosts,
+Placement::targetServers(const std::vector<const HostState *> &able,
                          const VersionPolicy::Split &split) const {
   std::vector<Address> out;
-  for (const auto &it : hosts) {
-    const auto *entry = Fleet.find(it);
-    if (entry != nullptr && entry->State.Server.Version == split.Target &&
-        takesWork(*entry)) {
-      out.push_back(it);
+  for (const auto *it : able) {
+    if (it->Server.Version == split.Target) {
+      out.push_back(it->Peer);
     }
   }
   std::sort(out.begin(), out.end());
@@ -226,37 +234,36 @@
   const bool wantsTarget = split &&
                            (first || split->ShareBasisPoints == FullShare) &&
                            isTurnOfTarget(request.Service, *split);
-  const auto targets = wantsTarget ? targetServers(hosts->second, *split)
-                                   : std::vector<Address>{};
+  const auto candidates = able(hosts->second);
+  const auto targets =
+      wantsTarget ? targetServers(candidates, *split) : std::vector<Address>{};
+  const bool hasLocal =
+      std::any_of(candidates.begin(), candidates.end(), [this](const auto *it) {
+        return it->DataCentre == DataCentre;
+      });
   std::uniform_real_distribution<double> jitter(0, Jitter);
   double best = 0;
   const HostState *chosen = nullptr;
   bool chosenFits = false;
-  const bool hasLocal = hasLocalServer(hosts->second);
-  for (const auto &it : hosts->second) {
-    const auto *entry = Fleet.find(it);
-    if (entry == nullptr || !takesWork(*entry) ||
-        !usable(entry->State, request, now) ||
-        (hasLocal && entry->State.DataCentre != DataCentre &&
-         isFull(entry->State, now))) {
+  for (const auto *it : candidates) {
+    if (!usable(*it, request, now) ||
+        (hasLocal && it->DataCentre != DataCentre && isFull(*it, now))) {
       continue;
     }
-    const auto &server = entry->State.Server;
     ++out.Candidates;
     // Requests beyond the share of a rollout's target must not reach it.
-    const bool isTarget = split && server.Version == split->Target;
+    const bool isTarget = split && it->Server.Version == split->Target;
     const bool fits = isTarget == wantsTarget;
     if (isTarget &&
-        std::find(targets.begin(), targets.end(), it) == targets.end()) {
+        std::find(targets.begin(), targets.end(), it->Peer) == targets.end()) {
       continue;
     }
     double expectedUs = 0;
-    const double gain =
-        value(entry->State, request, now, expectedUs) + jitter(Random);
+    const double gain = value(*it, request, now, expectedUs) + jitter(Random);
     if (chosen == nullptr || (fits && !chosenFits) ||
         (fits == chosenFits && gain > best)) {
       best = gain;
-      chosen = &entry->State;
+      chosen = it;
       chosenFits = fits;
       out.Expected = Duration(static_cast<std::int64_t>(expectedUs));
     }
@@ -281,15 +288,26 @@
   load.GateAt = now;
 }
 
-void Placement::answered(const Address &peer, const std::string &route,
-                         Duration latency, std::size_t bytes, bool serverError,
-                         const GateState &gate, TimePoint now) {
+// A request of this daemon ended.
+Placement::Load &Placement::release(const Address &peer) {
   auto &load = Loads[peer];
   load.Mine -= load.Mine > 0 ? 1 : 0;
-  learnGate(load, gate, now);
+  return load;
+}
+
+void Placement::learnError(Load &load, double weight, bool failed,
+                           TimePoint now) const {
   const double known = load.Errors * decay(load.ErrorsAt, now);
-  load.Errors = known + Settings.ErrorWeight * ((serverError ? 1 : 0) - known);
+  load.Errors = known + weight * ((failed ? 1 : 0) - known);
   load.ErrorsAt = now;
+}
+
+void Placement::answered(const Address &peer, const std::string &route,
+                         Duration latency, std::size_t bytes, bool serverError,
+                         const GateState &gate, TimePoint now) {
+  auto &load = release(peer);
+  learnGate(load, gate, now);
+  learnError(load, Settings.ErrorWeight, serverError, now);
   if (serverError) {
     return;
   }
@@ -313,8 +331,7 @@
 void Placement::refused(const Address &peer, const GateState &gate,
                         std::uint32_t priority, Duration retryAfter,
                         TimePoint now) {
-  auto &load = Loads[peer];
-  load.Mine -= load.Mine > 0 ? 1 : 0;
+  auto &load = release(peer);
   learnGate(load, gate, now);
   const bool closed = gate.Limit == 0;
   const auto until =
@@ -326,17 +343,10 @@
 }
 
 void Placement::lost(const Address &peer, TimePoint now) {
-  auto &load = Loads[peer];
-  load.Mine -= load.Mine > 0 ? 1 : 0;
-  const double known = load.Errors * decay(load.ErrorsAt, now);
-  load.Errors = known + Settings.ErrorWeight * 2 * (1 - known);
-  load.ErrorsAt = now;
+  learnError(release(peer), Settings.ErrorWeight * 2, true, now);
 }
 
-void Placement::cancelled(const Address &peer) {
-  auto &load = Loads[peer];
-  load.Mine -= load.Mine > 0 ? 1 : 0;
-}
+void Placement::cancelled(const Address &peer) { release(peer); }
 
 Duration Placement::expected(const std::string &route) const {
   const auto it = Routes.find(route);
--- a/src/mesh/slot_gate.cpp
+++ b/src/mesh/slot_gate.cpp
@@ -125,7 +125,7 @@
 // late not that of work in time.
 bool SlotGate::hasRoom(const Key &key) const {
   const auto from = Queue.lower_bound(Key{key.Late, key.Priority, 0});
-  const auto to = key.Late ? Queue.end() : Queue.lower_bound(Key{true, 0, 0});
+  const auto to = key.Late ? Queue.end() : Queue.lower_bound(FirstLate);
   const auto perSlot = key.Late ? Tuning.LateQueuePerSlot : Tuning.QueuePerSlot;
   return static_cast<double>(std::distance(from, to)) < Limit * perSlot;
 }
@@ -175,22 +175,18 @@
   Starts.push_back(now);
 }
 
-// Whether the entry is of another urgency than the first one, so that it would
-// be starved while the first class alone fills the server.
-bool SlotGate::isOtherKind(const Key &key) const {
-  return key.Priority != Queue.begin()->first.Priority;
-}
-
 // Precondition: something waits.
 SlotGate::WaitingMap::iterator SlotGate::nextWaiting() {
   const auto first = Queue.begin();
+  // The next one of another urgency, which would be starved while the first
+  // class alone fills the server.
   auto other = Queue.end();
   for (auto it = behindFirstClass(); it != Queue.end(); ++it) {
     // In the turn of other work, too, what can be in time goes first.
     const bool better =
         other == Queue.end() || (it->first.Late == other->first.Late &&
                                  it->first.Sequence < other->first.Sequence);
-    if (isOtherKind(it->first) && better) {
+    if (it->first.Priority != first->first.Priority && better) {
       other = it;
     }
   }
@@ -205,15 +201,21 @@
   return other;
 }
 
+// Takes an entry out of the queue.
+SlotGate::WaitingMap::iterator
+SlotGate::remove(WaitingMap::iterator it, std::vector<GateRequestId> &ids) {
+  ids.push_back(it->second.Id);
+  QueuedIds.erase(it->second.Id);
+  return Queue.erase(it);
+}
+
 std::vector<GateRequestId> SlotGate::start(TimePoint now) {
   std::vector<GateRequestId> ids;
   moveLate(now);
   while (!Queue.empty() && mayStart(now)) {
     const auto first = nextWaiting();
-    ids.push_back(first->second.Id);
     begin(first->second.Id, first->second.Route, now);
-    QueuedIds.erase(first->second.Id);
-    Queue.erase(first);
+    remove(first, ids);
   }
   return ids;
 }
@@ -222,13 +224,9 @@
   std::vector<GateRequestId> ids;
   moveLate(now);
   for (auto it = Queue.begin(); it != Queue.end();) {
-    if (now + expected(it->second.Route) > it->second.Deadline) {
-      ids.push_back(it->second.Id);
-      QueuedIds.erase(it->second.Id);
-      it = Queue.erase(it);
-    } else {
-      ++it;
-    }
+    const bool hopeless =
+        now + expected(it->second.Route) > it->second.Deadline;
+    it = hopeless ? remove(it, ids) : std::next(it);
   }
   dropExcessLate(ids);
   return ids;
@@ -236,14 +234,11 @@
 
 // Late work beyond its bound would mostly wait until its deadline in vain.
 void SlotGate::dropExcessLate(std::vector<GateRequestId> &ids) {
-  const auto first = Queue.lower_bound(Key{true, 0, 0});
+  const auto first = Queue.lower_bound(FirstLate);
   const auto bound =
       static_cast<std::ptrdiff_t>(std::ceil(Limit * Tuning.LateQueuePerSlot));
   for (auto n = std::distance(first, Queue.end()); n > bound; --n) {
-    const auto last = std::prev(Queue.end());
-    ids.push_back(last->second.Id);
-    QueuedIds.erase(last->second.Id);
-    Queue.erase(last);
+    remove(std::prev(Queue.end()), ids);
   }
 }
 
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -28,19 +28,13 @@
       Upstream(std::move(place.Server)), Host(std::move(place.Host)),
       DataCentre(std::move(place.DataCentre)), Changed(std::move(changed)) {}
 
-bool BackendService::wasEnded(const ServerReport &report) const {
-  return std::any_of(EndedStarts.begin(), EndedStarts.end(),
-                     [&](const Start &it) {
-                       return it.Instance == report.State.Instance &&
-                              it.StartedAtMs == report.StartedAtMs;
-                     });
-}
-
 Status BackendService::report(const ServerReport &report) {
   if (report.Server.Ip != Upstream.Ip) {
     return Reason{ErrorCode::InvalidRecord, "a server of another host"};
   }
-  if (wasEnded(report)) {
+  const Start start{report.State.Instance, report.StartedAtMs};
+  if (std::find(EndedStarts.begin(), EndedStarts.end(), start) !=
+      EndedStarts.end()) {
     return Reason{ErrorCode::Conflict, "the server has ended"};
   }
   const bool older =
@@ -48,8 +42,7 @@
   if (older && !replacesSilent(report)) {
     return Reason{ErrorCode::Conflict, "a newer start is known"};
   }
-  const bool sameStart = report.State.Instance == Server.Instance &&
-                         report.StartedAtMs == StartedAtMs;
+  const bool sameStart = start == Start{Server.Instance, StartedAtMs};
   if (sameStart && report.Sequence <= Sequence) {
     return Reason{ErrorCode::Conflict, "a newer report is known"};
   }
@@ -87,10 +80,9 @@
 // while the present one reports.
 bool BackendService::replacesSilent(const ServerReport &report) {
   const auto now = Loop.now();
-  const bool same = Successor.Instance == report.State.Instance &&
-                    Successor.StartedAtMs == report.StartedAtMs;
-  if (!same) {
-    Successor = {report.State.Instance, report.StartedAtMs};
+  const Start start{report.State.Instance, report.StartedAtMs};
+  if (!(Successor == start)) {
+    Successor = start;
     SuccessorSequence = report.Sequence;
     SuccessorSince = now;
     return false;
--- a/src/sidecar/fleet_service.cpp
+++ b/src/sidecar/fleet_service.cpp
@@ -44,12 +44,12 @@
 } // namespace
 
 FleetService::FleetService(Reactor &reactor, PeerNetwork &network,
-                           KeyedStore &store, FleetTable &table,
+                           KeyedStore &store, FleetTable &table, Address own,
                            std::function<HostState()> self, Extras extras,
                            Heard heard, std::function<void()> changed,
                            std::uint64_t seed)
     : Loop(reactor), Network(network), Store(store), Table(table),
-      Self(std::move(self)), OwnExtras(std::move(extras)),
+      Own(std::move(own)), Self(std::move(self)), OwnExtras(std::move(extras)),
       OnHeard(std::move(heard)), Changed(std::move(changed)), Random(seed) {}
 
 void FleetService::start() {
@@ -116,8 +116,7 @@
 void FleetService::probe() {
   Loop.schedule(Loop.now() + ProbeInterval, [this] { probe(); });
   const auto now = Loop.now();
-  const auto self = Self().Peer;
-  Table.heard(self, now);
+  Table.heard(Own, now);
   auto due = Table.toProbe(now);
   due.resize(std::min(due.size(), MaxProbes));
   for (const auto &it : due) {
@@ -135,9 +134,8 @@
 
 std::vector<Address> FleetService::randomHosts(std::size_t max) {
   std::vector<Address> known;
-  const auto self = Self().Peer;
   for (const auto &it : Table.hosts()) {
-    if (it.second.reachable() && it.first != self) {
+    if (it.second.reachable() && it.first != Own) {
       known.push_back(it.first);
     }
   }
@@ -156,7 +154,7 @@
 }
 
 void FleetService::greet(const Address &peer) {
-  if (peer == Self().Peer) {
+  if (peer == Own) {
     return;
   }
   Greeting.insert(peer);
@@ -209,7 +207,7 @@
 // @return whether the sender knows other addresses than this daemon.
 bool FleetService::take(wire::HelloT &hello) {
   const auto state = stateOf(hello);
-  if (!state || state->Peer == Self().Peer) {
+  if (!state || state->Peer == Own) {
     return false;
   }
   const auto now = Loop.now();
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -13,7 +13,6 @@
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(500);
 /** Time in which a client notices that its host is stopping. */
 constexpr Duration LeavingRetryAfter = std::chrono::milliseconds(100);
-constexpr std::size_t MaxWeightedRoutes = 8192;
 
 std::string pathAndQuery(const HttpRequest &request) {
   return request.Query.empty() ? request.Path
@@ -25,6 +24,18 @@
                                     1000);
 }
 
+HttpResponse refusal(int status, Duration retryAfter) {
+  HttpResponse out;
+  out.Status = status;
+  std::array<char, 32> buf{};
+  std::snprintf(
+      buf.data(), buf.size(), "%.3f",
+      static_cast<double>(std::max<Duration::rep>(retryAfter.count(), 1000)) /
+          1e6);
+  out.Headers.push_back({"Retry-After", buf.data()});
+  return out;
+}
+
 } // namespace
 
 struct ProxyService::Request {
@@ -67,18 +78,6 @@
   CallerService = std::move(service);
 }
 
-HttpResponse ProxyService::refusal(int status, Duration retryAfter) const {
-  HttpResponse out;
-  out.Status = status;
-  std::array<char, 32> buf{};
-  std::snprintf(
-      buf.data(), buf.size(), "%.3f",
-      static_cast<double>(std::max<Duration::rep>(retryAfter.count(), 1000)) /
-          1e6);
-  out.Headers.push_back({"Retry-After", buf.data()});
-  return out;
-}
-
 void ProxyService::answerUnrouted(const std::shared_ptr<HttpExchange> &exchange,
                                   const ClientRequest &client) {
   const auto &routes = Parts.Orders.routes();
@@ -117,7 +116,7 @@
   request->Deadline =
       now + std::min(route->Timeout, client.TimeLeft.value_or(route->Timeout));
   auto &call = request->Call;
-  call.Service = chooseService(*route);
+  call.Service = Split.choose(*route);
   call.Method = received.Method;
   call.Target = pathAndQuery(received);
   call.Headers = received.Headers;
@@ -163,29 +162,6 @@
   return now + route.TargetLatency - age;
 }
 
-// Smooth weighted round robin, so that each daemon keeps to the weights.
-std::string ProxyService::chooseService(const MeshRoute &route) {
-  if (route.Services.size() == 1 || Weights.size() >= MaxWeightedRoutes) {
-    return route.Services.front().Service;
-  }
-  auto &running = Weights[route.Name];
-  std::int64_t total = 0;
-  const WeightedService *best = nullptr;
-  for (const auto &it : route.Services) {
-    total += it.Weight;
-    auto &value = running[it.Service];
-    value += it.Weight;
-    if (it.Weight > 0 && (best == nullptr || value > running[best->Service])) {
-      best = &it;
-    }
-  }
-  if (best == nullptr) {
-    return route.Services.front().Service;
-  }
-  running[best->Service] -= total;
-  return best->Service;
-}
-
 RetryTokens &ProxyService::tokens(const std::string &service) {
   return Tokens.try_emplace(service, Loop.now()).first->second;
 }
@@ -353,7 +329,7 @@
   case NextStep::RefuseNotRun:
     return refuse(request, result);
   case NextStep::ReportUnknown:
-    return reportUnknown(request, result);
+    return reportUnknown(request);
   }
 }
 
@@ -372,8 +348,7 @@
   finish(request, refusal(503, after), Outcome::NotRun);
 }
 
-void ProxyService::reportUnknown(const RequestPtr &request,
-                                 const CallResult & /*result*/) {
+void ProxyService::reportUnknown(const RequestPtr &request) {
   if (request->ErrorAnswer) {
     return deliver(request, std::move(*request->ErrorAnswer));
   }
@@ -398,7 +373,7 @@
   }
   stopAttempt(*request);
   if (sent) {
-    return reportUnknown(request, {});
+    return reportUnknown(request);
   }
   refuse(request, {});
 }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -91,7 +91,8 @@
               {Own.BackendServer, Own.PeerListen, Own.DataCentre},
               [this] { onServerChanged(); }),
       Fleet(
-          Loop, Network, store, Hosts, [this] { return self(); },
+          Loop, Network, store, Hosts, Own.PeerListen,
+          [this] { return self(); },
           [this] {
             return GreetingExtras{
                 Orders.end(), Feed.storeAge(), Rollouts.digest(),
--- a/tests/unit/mesh_state_test.cpp
+++ b/tests/unit/mesh_state_test.cpp
@@ -1,6 +1,7 @@
 #include "chivefold/mesh/attempt_policy.h"
 #include "chivefold/mesh/fleet_table.h"
 #include "chivefold/mesh/rollout_driver.h"
+#include "chivefold/mesh/service_split.h"
 #include "chivefold/mesh/version_policy.h"
 #include "record_codec.h"
 
@@ -262,3 +263,19 @@
     CHECK(end == (bad ? RolloutAction::RollBack : RolloutAction::Complete));
   }
 }
+
+// Guards against a part of a split route that gets another share than its
+// weight, over ten requests as over many.
+TEST_CASE("a split keeps to its weights", "[mesh]") {
+  ServiceSplit split;
+  MeshRoute route;
+  route.Name = "r";
+  route.Services = {{"a", 70}, {"b", 20}, {"c", 10}, {"none", 0}};
+  for (int n = 0; n < 20; ++n) {
+    std::map<std::string, int> got;
+    for (int i = 0; i < 10; ++i) {
+      ++got[split.choose(route)];
+    }
+    CHECK(got == std::map<std::string, int>{{"a", 7}, {"b", 2}, {"c", 1}});
+  }
+}
