Give each death of a server an identity; bound how it spreads

Cause: a death and the answer that clears it were ordered by age, and each transfer made a copy older. A late copy of a death seemed to be of a later one than the answer that had cleared it, was recorded and spread again, and so in turn the answer: the two chased each other through the fleet without end.

Now the daemon that sees a death draws its identity, an answer names the deaths that it clears, and each table takes each of them once in whichever order they come. A step is passed on six times at most, a daemon spreads 20 a second and leaves the rest, with a log line, to probes. The tokens for retries are kept by the same bucket.

The copy of a death that must not undo an answer is told by its identity in place of its age, at any age; an answer does not clear a death that it does not know.

Ruled out: transit time alone, since the ages of steps could be kept exact only with one clock; a longer memory of answers, which only delays the storm.

--- a/include/chivefold/core/call_policy.h
+++ b/include/chivefold/core/call_policy.h
@@ -6,6 +6,7 @@
 #define CHIVEFOLD_CORE_CALL_POLICY_H
 
 #include "chivefold/core/error.h"
+#include "chivefold/core/rate_limit.h"
 #include "chivefold/core/types.h"
 
 #include <cstdint>
@@ -43,8 +44,7 @@
   bool take(TimePoint now);
 
 private:
-  double Tokens = Max;
-  TimePoint RefilledAt;
+  RateLimit Tokens;
 };
 
 /** What the policy must know of a call. */
--- a/include/chivefold/core/poison_table.h
+++ b/include/chivefold/core/poison_table.h
@@ -8,8 +8,10 @@
 #include "chivefold/core/types.h"
 
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <optional>
+#include <random>
 #include <unordered_map>
 #include <vector>
 
@@ -18,6 +20,9 @@
 /** Digest of a request (service, method, path, body). */
 enum class RequestDigest : std::uint64_t { None = 0 };
 
+/** Identity of a death, drawn by the daemon that saw it. */
+enum class DeathId : std::uint64_t { None = 0 };
+
 /**
  * Safe step: the request was in flight when the server died. Spreads between
  * daemons without a log record, since it only reduces exposure.
@@ -25,21 +30,34 @@
 struct PoisonStep {
   RequestDigest Digest = RequestDigest::None;
   Address Server;
-  /** Time since the death; expired steps are dropped. */
+  /** Time since the death; expired steps are dropped. Not compared with that
+   * of other steps, since each transfer makes it older. */
   Duration Age{};
-  /** The request was answered Age ago: deaths before that do not count. */
+  /** The request was answered after this death, which no longer counts. */
   bool Cleared = false;
+  DeathId Id = DeathId::None;
+  /** How often the step may still be passed on. */
+  std::uint8_t Hops = 0;
 };
 
 /**
  * Records digests of requests that were in flight when servers died. Deaths of
  * two different servers within QuarantineTime quarantine the digest, unless it
- * was answered since. Holds at most MaxDigests digests, the oldest is evicted.
- * Not thread-safe.
+ * was answered since. A death has an identity, and an answer names the deaths
+ * that it clears: in whichever order copies of both arrive, each table takes
+ * each of them once and all tables agree. Holds at most MaxDigests digests, the
+ * oldest is evicted. Not thread-safe.
  */
 class PoisonTable {
 public:
   static constexpr std::size_t MaxDigests = 1024;
+  /** Deaths of one digest that are kept; further ones change nothing. */
+  static constexpr std::size_t MaxDeaths = 4;
+  /** Identities remembered; a copy of a step whose identity was forgotten can
+   * be taken again, but its hops are bounded. */
+  static constexpr std::size_t MaxSeen = 4096;
+  /** Passed on to eight peers each time, a step reaches 8^6 daemons. */
+  static constexpr std::uint8_t MaxHops = 6;
   static constexpr Duration QuarantineTime = std::chrono::minutes(10);
   /** Answers remembered; a newer one with the same slot replaces an older. */
   static constexpr std::size_t MaxAnswers = 4096;
@@ -48,28 +66,32 @@
    * and would be quarantined when two servers die at once. */
   static constexpr Duration InnocentTime = std::chrono::seconds(10);
 
+  /** @param seed for the identities of deaths; differs between daemons. */
+  explicit PoisonTable(std::uint64_t seed);
+
   /** A server died with these requests in flight. @return steps to spread. */
   std::vector<PoisonStep> serverDied(const Address &server,
                                      const std::vector<RequestDigest> &inFlight,
                                      TimePoint now);
 
-  /** A request was answered: clears one death, not a quarantine.
-   * @return the step to spread if there was a death. */
-  std::optional<PoisonStep> succeeded(RequestDigest digest, TimePoint now);
+  /** A request was answered: clears its deaths, not a quarantine.
+   * @return a step to spread for each death. */
+  std::vector<PoisonStep> succeeded(RequestDigest digest, TimePoint now);
 
   /** @return whether a request was answered within InnocentTime, so that its
    * digest need not be reported to serverDied(). */
   bool isInnocent(RequestDigest digest, TimePoint now) const;
 
-  /** Merges a step of another daemon. @return whether it is new here and must
-   * be passed on. */
-  bool merge(const PoisonStep &step, TimePoint now);
+  /** Merges a step of another daemon. @return the step to pass on, if it is new
+   * here and has hops left. */
+  std::optional<PoisonStep> merge(const PoisonStep &step, TimePoint now);
 
   /** @return time until the quarantine ends, if there is one. */
   std::optional<Duration> quarantined(RequestDigest digest,
                                       TimePoint now) const;
 
-  /** @return up to @p max deaths and their ages, newest digests first. */
+  /** @return up to @p max deaths and their ages, newest digests first. They have
+   * no hops: a receiver keeps them to itself. */
   std::vector<PoisonStep> steps(std::size_t max, TimePoint now) const;
 
   std::size_t size() const;
@@ -78,19 +100,23 @@
   struct Death {
     Address Server;
     TimePoint At{};
+    DeathId Id = DeathId::None;
   };
   struct Entry {
-    /** At most two deaths, of different servers. */
+    /** Of different servers. */
     std::vector<Death> Deaths;
     std::list<RequestDigest>::iterator Age;
   };
+  /** How far the knowledge of one death has come. */
+  enum class Stage : std::uint8_t { Died, Cleared };
 
-  bool record(RequestDigest digest, const Address &server, TimePoint diedAt,
-              TimePoint now);
+  bool advance(DeathId id, Stage stage);
+  bool record(RequestDigest digest, const Death &death, TimePoint now);
   void erase(RequestDigest digest);
-  bool clear(RequestDigest digest, TimePoint answeredAt, TimePoint now);
-  std::optional<TimePoint> answeredAt(RequestDigest digest) const;
+  void clear(RequestDigest digest, DeathId id);
+  void noteAnswer(RequestDigest digest, TimePoint answeredAt);
 
+  std::mt19937_64 Random;
   std::unordered_map<RequestDigest, Entry> Entries;
   /** Oldest first. */
   std::list<RequestDigest> Ages;
@@ -99,6 +125,9 @@
     TimePoint At{};
   };
   std::vector<Answer> Answers = std::vector<Answer>(MaxAnswers);
+  std::unordered_map<DeathId, Stage> Seen;
+  /** Oldest first. */
+  std::deque<DeathId> SeenOrder;
 };
 
 } // namespace chivefold
--- a/include/chivefold/daemon/poison_service.h
+++ b/include/chivefold/daemon/poison_service.h
@@ -6,6 +6,7 @@
 #define CHIVEFOLD_DAEMON_POISON_SERVICE_H
 
 #include "chivefold/core/poison_table.h"
+#include "chivefold/core/rate_limit.h"
 #include "chivefold/daemon/call_message.h"
 #include "chivefold/io/logging.h"
 #include "chivefold/io/peer_network.h"
@@ -28,6 +29,11 @@
    * given daemon of 14 misses a death in 0.8% of all cases, with 8 in under
    * 0.01%. */
   static constexpr std::size_t Fanout = 8;
+  /** Steps that are spread a second, each to Fanout peers, so that the death of
+   * many servers at once does not load the links; the rest reaches other
+   * daemons with probes, and is counted in the log. */
+  static constexpr double SpreadsPerSecond = 20;
+  static constexpr double SpreadBurst = 60;
   /** Deaths on each probe, for daemons that the fanout misses. Older ones are
    * left out; about 50 B each. */
   static constexpr std::size_t DeathsPerProbe = 8;
@@ -37,7 +43,8 @@
   /** @return up to so many reachable peers, drawn at random. */
   using Peers = std::function<std::vector<Address>(std::size_t)>;
 
-  PoisonService(Reactor &reactor, PeerNetwork &network, Peers peers);
+  PoisonService(Reactor &reactor, PeerNetwork &network, Peers peers,
+                std::uint64_t seed);
 
   /** The backend server beside the daemon at @p server died while it ran the
    * request. The daemon's address identifies the server, since the server's own
@@ -68,6 +75,7 @@
   PeerNetwork &Network;
   Peers RandomPeers;
   PoisonTable Table;
+  RateLimit Spreads;
   Logger Lines{"poison"};
 };
 
--- a/src/core/call_policy.cpp
+++ b/src/core/call_policy.cpp
@@ -11,21 +11,11 @@
 
 } // namespace
 
-RetryTokens::RetryTokens(TimePoint now) : RefilledAt(now) {}
+RetryTokens::RetryTokens(TimePoint now) : Tokens(PerSecond, Max, now) {}
 
-void RetryTokens::earn() { Tokens = std::min(Max, Tokens + PerAnswer); }
+void RetryTokens::earn() { Tokens.add(PerAnswer); }
 
-bool RetryTokens::take(TimePoint now) {
-  const double elapsed =
-      std::chrono::duration<double>(now - RefilledAt).count();
-  Tokens = std::min(Max, Tokens + PerSecond * std::max(0.0, elapsed));
-  RefilledAt = std::max(RefilledAt, now);
-  if (Tokens < 1) {
-    return false;
-  }
-  Tokens -= 1;
-  return true;
-}
+bool RetryTokens::take(TimePoint now) { return Tokens.take(now); }
 
 CallPolicy::CallPolicy(const CallTerms &terms, RetryTokens &tokens)
     : Terms(terms), Tokens(tokens) {
--- a/src/core/poison_table.cpp
+++ b/src/core/poison_table.cpp
@@ -9,35 +9,63 @@
 
 } // namespace
 
+PoisonTable::PoisonTable(std::uint64_t seed) : Random(seed) {}
+
 std::vector<PoisonStep>
 PoisonTable::serverDied(const Address &server,
                         const std::vector<RequestDigest> &inFlight,
                         TimePoint now) {
   std::vector<PoisonStep> steps;
   for (const auto digest : inFlight) {
-    if (record(digest, server, now, now)) {
-      steps.push_back({digest, server, Duration::zero(), false});
+    const auto id = static_cast<DeathId>(Random());
+    if (record(digest, {server, now, id}, now)) {
+      advance(id, Stage::Died);
+      steps.push_back({digest, server, Duration::zero(), false, id, MaxHops});
     }
   }
   return steps;
 }
 
-bool PoisonTable::merge(const PoisonStep &step, TimePoint now) {
+std::optional<PoisonStep> PoisonTable::merge(const PoisonStep &step,
+                                             TimePoint now) {
   const auto age = std::max(step.Age, Duration::zero());
-  if (age >= QuarantineTime) {
-    return false;
+  const auto stage = step.Cleared ? Stage::Cleared : Stage::Died;
+  if (age >= QuarantineTime || step.Id == DeathId::None ||
+      !advance(step.Id, stage)) {
+    return std::nullopt;
+  }
+  if (step.Cleared) {
+    noteAnswer(step.Digest, now - age);
+    clear(step.Digest, step.Id);
+  } else if (!record(step.Digest, {step.Server, now - age, step.Id}, now)) {
+    return std::nullopt;
   }
-  return step.Cleared ? clear(step.Digest, now - age, now)
-                      : record(step.Digest, step.Server, now - age, now);
+  if (step.Hops == 0) {
+    return std::nullopt;
+  }
+  auto next = step;
+  next.Hops = static_cast<std::uint8_t>(std::min(step.Hops, MaxHops) - 1);
+  return next;
 }
 
-bool PoisonTable::record(RequestDigest digest, const Address &server,
-                         TimePoint diedAt, TimePoint now) {
-  // A copy of a death that is still under way must not undo an answer.
-  const auto answer = answeredAt(digest);
-  if (answer && *answer > diedAt) {
-    return false;
+// @return whether this is news of the death; its clearing is final.
+bool PoisonTable::advance(DeathId id, Stage stage) {
+  const auto [it, isNew] = Seen.emplace(id, stage);
+  if (!isNew) {
+    const bool further = it->second < stage;
+    it->second = std::max(it->second, stage);
+    return further;
   }
+  SeenOrder.push_back(id);
+  if (SeenOrder.size() > MaxSeen) {
+    Seen.erase(SeenOrder.front());
+    SeenOrder.pop_front();
+  }
+  return true;
+}
+
+bool PoisonTable::record(RequestDigest digest, const Death &death,
+                         TimePoint now) {
   auto it = Entries.find(digest);
   if (it == Entries.end()) {
     if (Entries.size() >= MaxDigests) {
@@ -54,12 +82,11 @@
                deaths.end());
   const bool isKnown =
       std::any_of(deaths.begin(), deaths.end(),
-                  [&](const Death &d) { return d.Server == server; });
-  // A copy of a known step must not renew it, or it would circulate forever.
-  if (isKnown || deaths.size() >= DeathsToQuarantine) {
+                  [&](const Death &d) { return d.Server == death.Server; });
+  if (isKnown || deaths.size() >= MaxDeaths) {
     return false;
   }
-  deaths.push_back({server, diedAt});
+  deaths.push_back(death);
   return true;
 }
 
@@ -70,49 +97,51 @@
   Ages.erase(age);
 }
 
-std::optional<PoisonStep> PoisonTable::succeeded(RequestDigest digest,
-                                                 TimePoint now) {
+std::vector<PoisonStep> PoisonTable::succeeded(RequestDigest digest,
+                                               TimePoint now) {
+  std::vector<PoisonStep> steps;
+  if (quarantined(digest, now)) {
+    return steps;
+  }
+  noteAnswer(digest, now);
   const auto it = Entries.find(digest);
-  const auto server = it != Entries.end() && !it->second.Deaths.empty()
-                          ? it->second.Deaths.front().Server
-                          : Address();
-  if (!clear(digest, now, now)) {
-    return std::nullopt;
+  if (it == Entries.end()) {
+    return steps;
+  }
+  for (const auto &death : it->second.Deaths) {
+    advance(death.Id, Stage::Cleared);
+    steps.push_back(
+        {digest, death.Server, Duration::zero(), true, death.Id, MaxHops});
   }
-  return PoisonStep{digest, server, Duration::zero(), true};
+  erase(digest);
+  return steps;
 }
 
-bool PoisonTable::clear(RequestDigest digest, TimePoint answeredAt,
-                        TimePoint now) {
-  if (quarantined(digest, now)) {
-    return false;
+void PoisonTable::clear(RequestDigest digest, DeathId id) {
+  const auto it = Entries.find(digest);
+  if (it == Entries.end()) {
+    return;
   }
+  auto &deaths = it->second.Deaths;
+  deaths.erase(std::remove_if(deaths.begin(), deaths.end(),
+                              [id](const Death &d) { return d.Id == id; }),
+               deaths.end());
+  if (deaths.empty()) {
+    erase(digest);
+  }
+}
+
+void PoisonTable::noteAnswer(RequestDigest digest, TimePoint answeredAt) {
   auto &answer = Answers[static_cast<std::size_t>(digest) % MaxAnswers];
   if (answer.Digest != digest || answer.At < answeredAt) {
     answer = {digest, answeredAt};
   }
-  const auto it = Entries.find(digest);
-  const auto isLater = [answeredAt](const Death &d) {
-    return d.At > answeredAt;
-  };
-  if (it == Entries.end() || std::any_of(it->second.Deaths.begin(),
-                                         it->second.Deaths.end(), isLater)) {
-    return false;
-  }
-  erase(digest);
-  return true;
-}
-
-std::optional<TimePoint> PoisonTable::answeredAt(RequestDigest digest) const {
-  const auto &answer = Answers[static_cast<std::size_t>(digest) % MaxAnswers];
-  return answer.Digest == digest && answer.At != TimePoint{}
-             ? std::optional<TimePoint>(answer.At)
-             : std::nullopt;
 }
 
 bool PoisonTable::isInnocent(RequestDigest digest, TimePoint now) const {
-  const auto answer = answeredAt(digest);
-  return answer && now - *answer < InnocentTime;
+  const auto &answer = Answers[static_cast<std::size_t>(digest) % MaxAnswers];
+  return answer.Digest == digest && answer.At != TimePoint{} &&
+         now - answer.At < InnocentTime;
 }
 
 std::vector<PoisonStep> PoisonTable::steps(std::size_t max,
@@ -124,7 +153,8 @@
         return all;
       }
       if (now - death.At < QuarantineTime) {
-        all.push_back({*it, death.Server, now - death.At, false});
+        all.push_back(
+            {*it, death.Server, now - death.At, false, death.Id, 0});
       }
     }
   }
@@ -137,8 +167,10 @@
   if (it == Entries.end() || it->second.Deaths.size() < DeathsToQuarantine) {
     return std::nullopt;
   }
-  const auto &deaths = it->second.Deaths;
-  const auto until = std::max(deaths[0].At, deaths[1].At) + QuarantineTime;
+  const auto latest = std::max_element(
+      it->second.Deaths.begin(), it->second.Deaths.end(),
+      [](const Death &a, const Death &b) { return a.At < b.At; });
+  const auto until = latest->At + QuarantineTime;
   if (until <= now) {
     return std::nullopt;
   }
--- a/src/daemon/poison_service.cpp
+++ b/src/daemon/poison_service.cpp
@@ -11,8 +11,9 @@
 }
 
 PoisonService::PoisonService(Reactor &reactor, PeerNetwork &network,
-                             Peers peers)
-    : Loop(reactor), Network(network), RandomPeers(std::move(peers)) {}
+                             Peers peers, std::uint64_t seed)
+    : Loop(reactor), Network(network), RandomPeers(std::move(peers)),
+      Table(seed), Spreads(SpreadsPerSecond, SpreadBurst, reactor.now()) {}
 
 void PoisonService::serverDied(const Address &server, RequestDigest digest) {
   const auto now = Loop.now();
@@ -25,8 +26,8 @@
 }
 
 void PoisonService::succeeded(RequestDigest digest) {
-  if (const auto step = Table.succeeded(digest, Loop.now())) {
-    spread(*step);
+  for (const auto &it : Table.succeeded(digest, Loop.now())) {
+    spread(it);
   }
 }
 
@@ -36,8 +37,9 @@
 
 void PoisonService::onDeath(const wire::PoisonDeathT &death) {
   const auto step = poisonFromWire(death);
-  if (step && Table.merge(*step, Loop.now())) {
-    spread(*step);
+  const auto next = step ? Table.merge(*step, Loop.now()) : std::nullopt;
+  if (next) {
+    spread(*next);
   }
 }
 
@@ -64,6 +66,11 @@
              {{"digest", static_cast<std::uint64_t>(step.Digest)},
               {"server", toString(step.Server)},
               {"quarantined", refused ? "yes" : "no"}});
+  if (!Spreads.take(Loop.now())) {
+    Lines.warn("left a step to probes",
+               {{"digest", static_cast<std::uint64_t>(step.Digest)}});
+    return;
+  }
   for (const auto &it : RandomPeers(Fanout)) {
     Network.send(it, frameBody(std::move(*poisonToWire(step))));
   }
--- a/src/daemon/wire_convert.cpp
+++ b/src/daemon/wire_convert.cpp
@@ -114,6 +114,8 @@
   to->age_ms = static_cast<std::uint32_t>(std::clamp<std::int64_t>(
       ms, 0, std::numeric_limits<std::uint32_t>::max()));
   to->cleared = step.Cleared;
+  to->id = static_cast<std::uint64_t>(step.Id);
+  to->hops = step.Hops;
   return to;
 }
 
@@ -122,8 +124,12 @@
   if (!server) {
     return std::nullopt;
   }
-  return PoisonStep{static_cast<RequestDigest>(death.digest), *server,
-                    std::chrono::milliseconds(death.age_ms), death.cleared};
+  return PoisonStep{static_cast<RequestDigest>(death.digest),
+                    *server,
+                    std::chrono::milliseconds(death.age_ms),
+                    death.cleared,
+                    static_cast<DeathId>(death.id),
+                    death.hops};
 }
 
 std::vector<std::unique_ptr<wire::KindStatsT>>
--- /dev/null
+++ b/tests/unit/poison_spread_test.cpp
@@ -0,0 +1,106 @@
+#include "chivefold/core/poison_table.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <queue>
+#include <random>
+#include <rapidcheck.h>
+
+using namespace chivefold;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto Digest = static_cast<RequestDigest>(7);
+constexpr std::size_t Fanout = 8;
+
+/** Tables that pass steps on to random others, with a random delay each. */
+class Fleet {
+public:
+  Fleet(std::size_t hosts, std::uint64_t seed) : Random(seed) {
+    for (std::size_t i = 0; i < hosts; ++i) {
+      Tables.emplace_back(seed + i + 1);
+    }
+  }
+
+  void died(std::size_t at, TimePoint now) {
+    const Address server{"10.0.0.1", static_cast<std::uint16_t>(at + 1)};
+    for (const auto &it : Tables[at].serverDied(server, {Digest}, now)) {
+      spread(it, now);
+    }
+  }
+
+  void answered(std::size_t at, TimePoint now) {
+    for (const auto &it : Tables[at].succeeded(Digest, now)) {
+      spread(it, now);
+    }
+  }
+
+  /** Delivers messages until @p end. */
+  void run(TimePoint end, std::size_t maxMessages) {
+    while (!Messages.empty() && Messages.top().At < end &&
+           Sent <= maxMessages) {
+      const auto message = Messages.top();
+      Messages.pop();
+      if (const auto next = Tables[message.To].merge(message.Step, message.At)) {
+        spread(*next, message.At);
+      }
+    }
+  }
+
+  std::size_t sent() const { return Sent; }
+  bool silent() const { return Messages.empty(); }
+  std::size_t suspecting() const {
+    return static_cast<std::size_t>(
+        std::count_if(Tables.begin(), Tables.end(),
+                      [](const auto &it) { return it.size() > 0; }));
+  }
+
+private:
+  struct Message {
+    TimePoint At{};
+    std::size_t To = 0;
+    PoisonStep Step;
+    bool operator<(const Message &other) const { return At > other.At; }
+  };
+
+  void spread(const PoisonStep &step, TimePoint now) {
+    std::uniform_int_distribution<std::size_t> to(0, Tables.size() - 1);
+    std::uniform_int_distribution<int> delay(0, 400);
+    for (std::size_t i = 0; i < Fanout; ++i) {
+      Messages.push({now + milliseconds(delay(Random)), to(Random), step});
+      ++Sent;
+    }
+  }
+
+  std::mt19937_64 Random;
+  std::vector<PoisonTable> Tables;
+  std::priority_queue<Message> Messages;
+  std::size_t Sent = 0;
+};
+
+} // namespace
+
+// Guards against a death and the answer that clears it chasing each other
+// through the fleet without end: each copy was older on arrival than when it
+// was sent, so that it seemed to be a new one.
+TEST_CASE("a death and its answer fall silent", "[poison]") {
+  CHECK(rc::check("each table passes a step on once", [](std::uint64_t seed) {
+    const auto hosts = *rc::gen::inRange<std::size_t>(2, 80);
+    const auto deaths = *rc::gen::inRange<std::size_t>(1, 3);
+    const auto answerAfter = milliseconds(*rc::gen::inRange(0, 1000));
+    const TimePoint start{std::chrono::hours(1)};
+    Fleet fleet(hosts, seed);
+    for (std::size_t i = 0; i < deaths; ++i) {
+      fleet.died(0, start + i * milliseconds(5));
+    }
+    const auto bound = (deaths + 1) * hosts * Fanout;
+    fleet.run(start + answerAfter, bound);
+    fleet.answered(hosts - 1, start + answerAfter);
+    fleet.answered(0, start + answerAfter);
+    fleet.run(TimePoint::max(), bound * 4);
+    RC_ASSERT(fleet.silent());
+    RC_ASSERT(fleet.sent() <= bound * 2);
+  }));
+}
