--- a/include/chivefold/io/peer_network.h
+++ b/include/chivefold/io/peer_network.h
@@ -13,6 +13,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
+#include <vector>
 
 namespace chivefold {
 
@@ -34,6 +36,13 @@
   static constexpr Duration ConnectTimeout = std::chrono::milliseconds(500);
 };
 
+/** Frames of one kind that were handed to links since the start. */
+struct PeerTraffic {
+  std::string_view Kind;
+  std::uint64_t Frames = 0;
+  std::uint64_t Bytes = 0;
+};
+
 enum class PeerRequestId : std::uint64_t { None = 0 };
 
 /** How a request to a peer ended. */
@@ -106,6 +115,9 @@
    * handler, for a frame with a responder. */
   std::uint64_t requestToken() const;
 
+  /** @return what was sent, a row for each kind of frame that was. */
+  std::vector<PeerTraffic> traffic() const;
+
   /** @return bytes sent and received since the start, for metrics. */
   std::uint64_t bytesSent() const;
   std::uint64_t bytesReceived() const;
--- a/src/io/peer_link.h
+++ b/src/io/peer_link.h
@@ -66,6 +66,7 @@
 
   const Address &peer() const { return Peer; }
   bool inbound() const { return Inbound; }
+  bool isClosed() const { return Closed; }
   bool idle() const {
     return Outstanding.empty() && Served.empty() && Queue.empty();
   }
--- a/src/io/peer_network.cpp
+++ b/src/io/peer_network.cpp
@@ -3,7 +3,9 @@
 #include "listener.h"
 #include "peer_link.h"
 
+#include <algorithm>
 #include <array>
+#include <iterator>
 #include <sys/socket.h>
 
 namespace chivefold {
@@ -44,6 +46,7 @@
 
   std::uint64_t request(const Address &to, wire::FrameBodyUnion body,
                         TimePoint deadline, Callback done);
+  std::string encode(std::uint64_t id, wire::FrameBodyUnion body);
   void refuse(std::uint64_t id, Reason reason);
   void expire(std::uint64_t id);
   bool forget(std::uint64_t id, bool tellPeer);
@@ -54,8 +57,8 @@
   void onRequest(PeerLink &link, wire::FrameT &frame);
   void onBroken(PeerLink &link, const Reason &reason) override;
   void cancelled(std::uint64_t token);
-  static void respond(const std::weak_ptr<PeerLink> &link, std::uint64_t id,
-                      std::uint64_t token, wire::FrameBodyUnion body);
+  void respond(const std::weak_ptr<PeerLink> &link, std::uint64_t id,
+               std::uint64_t token, wire::FrameBodyUnion body);
 
   Reactor &Loop;
   Address Listen;
@@ -69,6 +72,9 @@
   std::uint64_t NextToken = 0;
   std::uint64_t CurrentToken = 0;
   std::uint64_t Uses = 0;
+  /** Frames sent, by kind. */
+  std::array<PeerTraffic, static_cast<std::size_t>(wire::FrameBody::MAX) + 1>
+      Sent{};
 };
 
 PeerNetwork::Impl::~Impl() {
@@ -153,12 +159,22 @@
   return link;
 }
 
+std::string PeerNetwork::Impl::encode(std::uint64_t id,
+                                      wire::FrameBodyUnion body) {
+  auto &sent = Sent[static_cast<std::size_t>(body.type)];
+  sent.Kind = wire::EnumNameFrameBody(body.type);
+  auto frame = encodeFrame(id, std::move(body));
+  ++sent.Frames;
+  sent.Bytes += frame.size();
+  return frame;
+}
+
 std::uint64_t PeerNetwork::Impl::request(const Address &to,
                                          wire::FrameBodyUnion body,
                                          TimePoint deadline, Callback done) {
   const auto id = ++NextRequest;
   Requests[id].Done = std::move(done);
-  auto frame = encodeFrame(id, std::move(body));
+  auto frame = encode(id, std::move(body));
   if (frame.empty()) {
     refuse(id, {ErrorCode::InvalidRecord, "frame too large"});
     return id;
@@ -274,7 +290,7 @@
   const std::weak_ptr<PeerLink> weak = Links.at(&link);
   CurrentToken = token;
   Handler(link.peer(), frame.body,
-          [weak, id, token](wire::FrameBodyUnion body) {
+          [this, weak, id, token](wire::FrameBodyUnion body) {
             respond(weak, id, token, std::move(body));
           });
   CurrentToken = 0;
@@ -284,7 +300,8 @@
                                 std::uint64_t id, std::uint64_t token,
                                 wire::FrameBodyUnion body) {
   const auto open = link.lock();
-  if (!open) {
+  // A closed link may outlive the network by a turn of the loop.
+  if (!open || open->isClosed()) {
     return;
   }
   const auto it = open->Served.find(id);
@@ -292,7 +309,7 @@
     return;
   }
   open->Served.erase(it);
-  auto frame = encodeFrame(id, std::move(body));
+  auto frame = encode(id, std::move(body));
   if (frame.empty() || !open->enqueue(std::move(frame), 0)) {
     open->failLater({ErrorCode::Overloaded, "cannot send an answer"});
   }
@@ -339,7 +356,7 @@
 }
 
 void PeerNetwork::send(const Address &to, wire::FrameBodyUnion body) {
-  auto frame = encodeFrame(0, std::move(body));
+  auto frame = State->encode(0, std::move(body));
   const auto link = frame.empty() ? nullptr : State->linkTo(to);
   if (link) {
     State->touch(*link);
@@ -357,6 +374,13 @@
 
 std::uint64_t PeerNetwork::requestToken() const { return State->CurrentToken; }
 
+std::vector<PeerTraffic> PeerNetwork::traffic() const {
+  std::vector<PeerTraffic> out;
+  std::copy_if(State->Sent.begin(), State->Sent.end(), std::back_inserter(out),
+               [](const PeerTraffic &it) { return it.Frames > 0; });
+  return out;
+}
+
 std::uint64_t PeerNetwork::bytesSent() const { return State->BytesSent; }
 
 std::uint64_t PeerNetwork::bytesReceived() const {
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -23,6 +23,20 @@
 constexpr Duration DrainCheck = std::chrono::milliseconds(50);
 /** A fleet of one host is ready without any peer after this time. */
 constexpr Duration LonelyReadiness = std::chrono::milliseconds(1500);
+/** Pause between two lines on what was sent to other daemons. */
+constexpr Duration TrafficInterval = std::chrono::seconds(10);
+
+// Text of the metrics address.
+std::string trafficMetrics(const PeerNetwork &network) {
+  std::string out;
+  for (const auto &it : network.traffic()) {
+    const auto label = "{kind=\"" + std::string(it.Kind) + "\"} ";
+    out += "chivefold_peer_frames_sent" + label + std::to_string(it.Frames) +
+           "\nchivefold_peer_bytes_sent" + label + std::to_string(it.Bytes) +
+           "\n";
+  }
+  return out;
+}
 
 } // namespace
 
@@ -40,6 +54,7 @@
   void onReport(const std::shared_ptr<HttpExchange> &exchange);
   void onLeave(const std::shared_ptr<HttpExchange> &exchange);
   bool isReady() const;
+  void logTraffic();
   void drain(TimePoint earliest, TimePoint latest);
 
   Reactor &Loop;
@@ -220,7 +235,8 @@
   if (request.Path == "/-/metrics") {
     return exchange->respond({200,
                               {{"Content-Type", "text/plain"}},
-                              toPrometheus(Figures.report(Loop.now()))});
+                              toPrometheus(Figures.report(Loop.now())) +
+                                  trafficMetrics(Network)});
   }
   if (request.Path == "/-/ready") {
     return exchange->respond({isReady() ? 200 : 503, {}, ""});
@@ -252,6 +268,14 @@
   exchange->respond({200, {{"Content-Type", "application/json"}}, "{}"});
 }
 
+void Sidecar::Parts::logTraffic() {
+  for (const auto &it : Network.traffic()) {
+    Lines.info("sent to other daemons",
+               {{"kind", it.Kind}, {"frames", it.Frames}, {"bytes", it.Bytes}});
+  }
+  Loop.schedule(Loop.now() + TrafficInterval, [this] { logTraffic(); });
+}
+
 // Until @p earliest clients may begin requests; then only open ones are
 // finished, until @p latest.
 void Sidecar::Parts::drain(TimePoint earliest, TimePoint latest) {
@@ -295,6 +319,7 @@
   All->Fleet.start();
   All->Feed.start();
   All->Rollouts.start();
+  All->logTraffic();
   return Done{};
 }
 
