Announce changes of a host through relays; ask for addresses seldom

Each change of a host was a greeting to all 294 others and an answer from each, and each answer carried the list of all addresses (12 KB) while the digests of the two hosts differed, as they do for all pairs while a fleet starts.

Now an announcement goes to the own data centre directly and to each other one through two random relays, without answers. A state that another host passed on is taken only if its number within the same start of the daemon is higher; of another start the host itself is asked.

Ruled out: fewer probes, which send 2 greetings a second and were a twentieth of the bytes.

--- a/include/chivefold/core/poison_table.h
+++ b/include/chivefold/core/poison_table.h
@@ -90,8 +90,8 @@
   std::optional<Duration> quarantined(RequestDigest digest,
                                       TimePoint now) const;
 
-  /** @return up to @p max deaths and their ages, newest digests first. They have
-   * no hops: a receiver keeps them to itself. */
+  /** @return up to @p max deaths and their ages, newest digests first. They
+   * have no hops: a receiver keeps them to itself. */
   std::vector<PoisonStep> steps(std::size_t max, TimePoint now) const;
 
   std::size_t size() const;
--- a/include/chivefold/mesh/fleet_table.h
+++ b/include/chivefold/mesh/fleet_table.h
@@ -61,10 +61,20 @@
   bool reachable() const { return Heard && Failures == 0; }
 };
 
+/** What a state that another host passed on is worth. */
+enum class Hearsay : std::uint8_t {
+  /** Newer than what was known, and taken. */
+  News,
+  Old,
+  /** Of another start of the daemon: only that daemon can tell which is the
+   * later one. */
+  Unsure
+};
+
 /**
- * Hosts by the address of their daemon. The state of a host comes from that
- * host only, so no copy of a third party can be older than what is known;
- * others only name addresses to contact. At most MaxHosts are kept; on overflow
+ * Hosts by the address of their daemon. The state of a host is numbered by that
+ * host, so that a copy passed on by another is never taken for newer than it
+ * is. At most MaxHosts are kept; on overflow
  * the host that has been unreachable for longest is dropped, and if all are
  * reachable the new one is ignored. Not thread-safe.
  */
@@ -84,6 +94,10 @@
    * changed. */
   bool update(const HostState &state, TimePoint now);
 
+  /** Takes what another host passed on. A state that is not newer says nothing
+   * of whether the host can be reached. */
+  Hearsay updateFromOther(const HostState &state, TimePoint now);
+
   /** An attempt to reach the host failed. */
   void failed(const Address &peer, TimePoint now);
   /** The host answered. */
--- a/src/core/poison_table.cpp
+++ b/src/core/poison_table.cpp
@@ -153,8 +153,7 @@
         return all;
       }
       if (now - death.At < QuarantineTime) {
-        all.push_back(
-            {*it, death.Server, now - death.At, false, death.Id, 0});
+        all.push_back({*it, death.Server, now - death.At, false, death.Id, 0});
       }
     }
   }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -97,9 +97,10 @@
       Network(Loop, Own.PeerListen,
               [this](const Address & /*link*/, wire::FrameBodyUnion &body,
                      const PeerResponder &respond) { onFrame(body, respond); }),
-      Poison(Loop, Network,
-             [this](std::size_t n) { return Members.randomPeers(n, true); },
-             Seeds()),
+      Poison(
+          Loop, Network,
+          [this](std::size_t n) { return Members.randomPeers(n, true); },
+          Seeds()),
       Gate(Loop, Backend, Own, State, Poison),
       Control(Loop, Network, Log, {State, Steps, Members, Records, Poison},
               Seeds(), [this] { onApplied(); }),
--- a/src/daemon/wire_convert.cpp
+++ b/src/daemon/wire_convert.cpp
@@ -124,12 +124,9 @@
   if (!server) {
     return std::nullopt;
   }
-  return PoisonStep{static_cast<RequestDigest>(death.digest),
-                    *server,
-                    std::chrono::milliseconds(death.age_ms),
-                    death.cleared,
-                    static_cast<DeathId>(death.id),
-                    death.hops};
+  return PoisonStep{static_cast<RequestDigest>(death.digest), *server,
+                    std::chrono::milliseconds(death.age_ms),  death.cleared,
+                    static_cast<DeathId>(death.id),           death.hops};
 }
 
 std::vector<std::unique_ptr<wire::KindStatsT>>
--- a/src/mesh/fleet_table.cpp
+++ b/src/mesh/fleet_table.cpp
@@ -86,6 +86,20 @@
   return changed;
 }
 
+Hearsay FleetTable::updateFromOther(const HostState &state, TimePoint now) {
+  const auto *known = find(state.Peer);
+  if (known != nullptr && known->Heard) {
+    if (known->State.BootId != state.BootId) {
+      return Hearsay::Unsure;
+    }
+    if (state.Sequence <= known->State.Sequence) {
+      return Hearsay::Old;
+    }
+  }
+  update(state, now);
+  return Hearsay::News;
+}
+
 void FleetTable::failed(const Address &peer, TimePoint now) {
   const auto it = Hosts.find(peer);
   if (it != Hosts.end()) {
--- a/src/sidecar/fleet_service.cpp
+++ b/src/sidecar/fleet_service.cpp
@@ -44,11 +44,12 @@
 } // namespace
 
 FleetService::FleetService(Reactor &reactor, PeerNetwork &network,
-                           KeyedStore &store, FleetTable &table, Address own,
+                           KeyedStore &store, FleetTable &table,
+                           AnnouncePlan &plan, Address own,
                            std::function<HostState()> self, Extras extras,
                            Heard heard, std::function<void()> changed,
                            std::uint64_t seed)
-    : Loop(reactor), Network(network), Store(store), Table(table),
+    : Loop(reactor), Network(network), Store(store), Table(table), Plan(plan),
       Own(std::move(own)), Self(std::move(self)), OwnExtras(std::move(extras)),
       OnHeard(std::move(heard)), Changed(std::move(changed)), Random(seed) {}
 
@@ -88,6 +89,7 @@
                if (batch->HasMore && !batch->Records.empty()) {
                  return listHosts(batch->Records.back().Key);
                }
+               NextAddresses = Loop.now() + AddressPause;
                Lines.info("registered", {{"hosts", Table.hosts().size()}});
              });
 }
@@ -146,22 +148,32 @@
 
 void FleetService::announce() {
   Table.update(Self(), Loop.now());
-  for (const auto &it : Table.hosts()) {
-    if (it.second.reachable()) {
-      greet(it.first);
-    }
+  const auto news = hello();
+  for (const auto &it : Plan.targets()) {
+    pass(it.Peer, news, it.Relays ? HelloRoute::ToRelay : HelloRoute::Direct);
   }
 }
 
+void FleetService::pass(const Address &peer, wire::HelloT hello,
+                        HelloRoute route) {
+  hello.route = static_cast<std::uint8_t>(route);
+  Network.send(peer, frameBody(std::move(hello)));
+}
+
 void FleetService::greet(const Address &peer) {
   if (peer == Own) {
     return;
   }
-  Greeting.insert(peer);
+  auto greeting = hello();
+  addDeaths(greeting);
+  if (AddressesDiffer && mayAskForAddresses(peer)) {
+    greeting.wants_addresses = true;
+    NextAddresses = Loop.now() + AddressPause;
+    AddressPause = std::min(2 * AddressPause, MaxAddressPause);
+  }
   Network.request(
-      peer, frameBody(hello(false)), Loop.now() + GreetTimeout,
+      peer, frameBody(std::move(greeting)), Loop.now() + GreetTimeout,
       [this, peer](PeerOutcome outcome) {
-        Greeting.erase(peer);
         auto *answer = outcome.Answer ? outcome.Answer->AsHello() : nullptr;
         if (answer != nullptr) {
           take(*answer);
@@ -178,9 +190,28 @@
       });
 }
 
-wire::HelloT FleetService::hello(bool withAddresses) const {
+// Bytes within a data centre cost less than those between them.
+bool FleetService::mayAskForAddresses(const Address &peer) const {
+  if (Loop.now() < NextAddresses) {
+    return false;
+  }
+  const auto dataCentreOf = [this](const Address &host) {
+    const auto *entry = Table.find(host);
+    return entry != nullptr && entry->reachable() ? entry->State.DataCentre
+                                                  : std::string();
+  };
+  const auto own = dataCentreOf(Own);
+  return dataCentreOf(peer) == own ||
+         std::none_of(Table.hosts().begin(), Table.hosts().end(),
+                      [&](const auto &it) {
+                        return it.first != Own && it.second.reachable() &&
+                               it.second.State.DataCentre == own;
+                      });
+}
+
+wire::HelloT FleetService::hello() const {
   const auto self = Self();
-  auto extras = OwnExtras();
+  const auto extras = OwnExtras();
   wire::HelloT out;
   out.address = addressToWire(self.Peer);
   out.data_centre = self.DataCentre;
@@ -192,59 +223,113 @@
   out.address_digest = Table.addressDigest();
   out.operator_end = extras.OperatorEnd;
   out.rollout_digest = extras.RolloutDigest;
-  out.deaths = std::move(extras.Deaths);
   out.store_age_ms = static_cast<std::uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(extras.StoreAge)
           .count());
-  if (withAddresses) {
-    for (const auto &it : Table.addresses()) {
-      out.addresses.push_back(addressToWire(it));
+  return out;
+}
+
+void FleetService::addAddresses(wire::HelloT &hello) const {
+  for (const auto &it : Table.addresses()) {
+    hello.addresses.push_back(addressToWire(it));
+  }
+}
+
+void FleetService::addDeaths(wire::HelloT &hello) const {
+  hello.deaths = OwnExtras().Deaths;
+}
+
+void FleetService::takeAddresses(const wire::HelloT &hello) {
+  for (const auto &it : hello.addresses) {
+    const auto peer = fromWire(it.get());
+    if (peer && Table.addAddress(*peer, Loop.now())) {
+      AddressPause = MinAddressPause;
+      greet(*peer);
     }
   }
-  return out;
 }
 
-// @return whether the sender knows other addresses than this daemon.
-bool FleetService::take(wire::HelloT &hello) {
+void FleetService::noteNews(const HostState &state, bool isNew) {
+  Lines.info(isNew ? "found a host" : "a host changed",
+             {{"host", toString(state.Peer)},
+              {"sequence", state.Sequence},
+              {"service", state.Server.Service},
+              {"version", state.Server.Version},
+              {"phase", serverPhaseName(state.Server.Phase)},
+              {"leaving", state.Leaving ? "yes" : "no"}});
+  Changed();
+}
+
+// A greeting or the answer to one, from the host that it is about.
+void FleetService::take(wire::HelloT &hello) {
   const auto state = stateOf(hello);
   if (!state || state->Peer == Own) {
-    return false;
+    return;
   }
-  const auto now = Loop.now();
   const auto *known = Table.find(state->Peer);
   const bool isNew = known == nullptr || !known->reachable();
-  const bool changed = Table.update(*state, now);
-  if (changed) {
-    Lines.info(isNew ? "found a host" : "a host changed",
-               {{"host", toString(state->Peer)},
-                {"sequence", state->Sequence},
-                {"service", state->Server.Service},
-                {"version", state->Server.Version},
-                {"phase", serverPhaseName(state->Server.Phase)},
-                {"leaving", state->Leaving ? "yes" : "no"}});
-    Changed();
-  }
-  for (const auto &it : hello.addresses) {
-    const auto peer = fromWire(it.get());
-    if (peer && Table.addAddress(*peer, now)) {
-      greet(*peer);
-    }
+  if (Table.update(*state, Loop.now())) {
+    noteNews(*state, isNew);
   }
+  takeAddresses(hello);
+  AddressesDiffer = hello.address_digest != Table.addressDigest();
+  takeExtras(state->Peer, hello);
+}
+
+void FleetService::takeExtras(const Address &peer, wire::HelloT &hello) {
   GreetingExtras extras;
   extras.OperatorEnd = hello.operator_end;
   extras.RolloutDigest = hello.rollout_digest;
   extras.StoreAge = std::chrono::milliseconds(hello.store_age_ms);
   extras.Deaths = std::move(hello.deaths);
-  OnHeard(state->Peer, extras);
-  return hello.address_digest != Table.addressDigest();
+  OnHeard(peer, extras);
+}
+
+void FleetService::takeAnnouncement(wire::HelloT &hello) {
+  if (hello.route != static_cast<std::uint8_t>(HelloRoute::Relayed)) {
+    const auto state = stateOf(hello);
+    const auto *known = state ? Table.find(state->Peer) : nullptr;
+    const bool isNews = known == nullptr || !known->Heard ||
+                        known->State.BootId != hello.boot_id ||
+                        known->State.Sequence < hello.sequence;
+    // A copy of another relay may be here already; it was passed on then.
+    if (state && isNews &&
+        hello.route == static_cast<std::uint8_t>(HelloRoute::ToRelay)) {
+      for (const auto &it : Plan.relayTargets(state->Peer)) {
+        pass(it, hello, HelloRoute::Relayed);
+      }
+    }
+    return take(hello);
+  }
+  const auto state = stateOf(hello);
+  if (!state || state->Peer == Own) {
+    return;
+  }
+  const auto *known = Table.find(state->Peer);
+  const bool isNew = known == nullptr || !known->reachable();
+  switch (Table.updateFromOther(*state, Loop.now())) {
+  case Hearsay::News:
+    return noteNews(*state, isNew);
+  case Hearsay::Unsure:
+    return greet(state->Peer);
+  case Hearsay::Old:
+    return;
+  }
 }
 
 void FleetService::onHello(wire::HelloT &request,
                            const PeerResponder &respond) {
-  const bool differs = take(request);
-  if (respond) {
-    respond(frameBody(hello(differs)));
+  if (!respond) {
+    return takeAnnouncement(request);
+  }
+  take(request);
+  auto answer = hello();
+  addDeaths(answer);
+  if (request.wants_addresses &&
+      request.address_digest != answer.address_digest) {
+    addAddresses(answer);
   }
+  respond(frameBody(std::move(answer)));
 }
 
 } // namespace chivefold
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -71,6 +71,7 @@
   OperatorState Orders;
   VersionPolicy Versions;
   FleetTable Hosts;
+  AnnouncePlan Plan;
   Placement Servers;
   Metrics Figures;
   HttpClient ServerHttp;
@@ -95,18 +96,20 @@
     : Loop(reactor), Own(std::move(settings)), Ports(ports), Seeds(seed),
       BootId(Seeds()), StartedAt(Loop.now()), Orders(ports.Orders),
       Versions(Orders), Hosts(Seeds()),
+      Plan(Hosts, Own.PeerListen, Own.DataCentre, Seeds()),
       Servers(Hosts, Orders, Versions, Own.PeerListen, Own.DataCentre, Seeds()),
       Figures(MetricsSettings()), ServerHttp(Loop, InitialConnections),
       Network(Loop, Own.PeerListen,
               [this](const Address & /*link*/, wire::FrameBodyUnion &body,
                      const PeerResponder &respond) { onFrame(body, respond); }),
-      Poison(Loop, Network,
-             [this](std::size_t n) { return Fleet.randomHosts(n); }, Seeds()),
+      Poison(
+          Loop, Network, [this](std::size_t n) { return Fleet.randomHosts(n); },
+          Seeds()),
       Backend(Loop, ServerHttp, {ports, Orders, Versions, Poison},
               {Own.BackendServer, Own.PeerListen, Own.DataCentre},
               [this] { onServerChanged(); }),
       Fleet(
-          Loop, Network, store, Hosts, Own.PeerListen,
+          Loop, Network, store, Hosts, Plan, Own.PeerListen,
           [this] { return self(); },
           [this] {
             return GreetingExtras{
@@ -233,10 +236,10 @@
     break;
   }
   if (request.Path == "/-/metrics") {
-    return exchange->respond({200,
-                              {{"Content-Type", "text/plain"}},
-                              toPrometheus(Figures.report(Loop.now())) +
-                                  trafficMetrics(Network)});
+    return exchange->respond(
+        {200,
+         {{"Content-Type", "text/plain"}},
+         toPrometheus(Figures.report(Loop.now())) + trafficMetrics(Network)});
   }
   if (request.Path == "/-/ready") {
     return exchange->respond({isReady() ? 200 : 503, {}, ""});
--- /dev/null
+++ b/tests/unit/announce_plan_test.cpp
@@ -0,0 +1,133 @@
+#include "chivefold/mesh/announce_plan.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+
+using namespace chivefold;
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr std::size_t DataCentres = 5;
+constexpr std::size_t HostsEach = 59;
+constexpr TimePoint Start{seconds(100)};
+
+Address hostAt(std::size_t n) {
+  return {"10.0." + std::to_string(n / 250) + "." + std::to_string(n % 250),
+          7000};
+}
+
+HostState stateOf(std::size_t n, std::uint64_t sequence) {
+  HostState out;
+  out.Peer = hostAt(n);
+  out.DataCentre = "dc" + std::to_string(n % DataCentres);
+  out.BootId = n + 1;
+  out.Sequence = sequence;
+  return out;
+}
+
+/** All hosts, each of which knows all others. */
+struct Hosts {
+  Hosts() {
+    for (std::size_t i = 0; i < DataCentres * HostsEach; ++i) {
+      Index[hostAt(i)] = i;
+      Tables.push_back(std::make_unique<FleetTable>(i));
+      for (std::size_t j = 0; j < DataCentres * HostsEach; ++j) {
+        Tables.back()->update(stateOf(j, 1), Start);
+      }
+      Plans.push_back(std::make_unique<AnnouncePlan>(
+          *Tables.back(), hostAt(i), stateOf(i, 1).DataCentre, i + 1));
+    }
+  }
+
+  /** Announces a new state of host 0, which does not reach @p lost. */
+  void announce(const std::vector<std::size_t> &lost) {
+    const auto state = stateOf(0, 2);
+    for (const auto &it : Plans[0]->targets()) {
+      const auto to = Index.at(it.Peer);
+      CrossDataCentre += to % DataCentres != 0 ? 1 : 0;
+      ++Messages;
+      if (std::find(lost.begin(), lost.end(), to) != lost.end()) {
+        continue;
+      }
+      Tables[to]->update(state, Start + seconds(1));
+      if (!it.Relays) {
+        continue;
+      }
+      for (const auto &next : Plans[to]->relayTargets(state.Peer)) {
+        ++Messages;
+        CHECK(Index.at(next) % DataCentres == to % DataCentres);
+        Tables[Index.at(next)]->updateFromOther(state, Start + seconds(1));
+      }
+    }
+  }
+
+  std::size_t knowing() const {
+    return static_cast<std::size_t>(
+        std::count_if(Tables.begin(), Tables.end(), [](const auto &it) {
+          return it->find(hostAt(0))->State.Sequence == 2;
+        }));
+  }
+
+  std::map<Address, std::size_t> Index;
+  std::vector<std::unique_ptr<FleetTable>> Tables;
+  std::vector<std::unique_ptr<AnnouncePlan>> Plans;
+  std::size_t Messages = 0;
+  std::size_t CrossDataCentre = 0;
+};
+
+} // namespace
+
+// Guards against bytes between data centres that grow with the square of the
+// fleet: each change of a host was sent to every other one.
+TEST_CASE("news crosses to each data centre a bounded number of times",
+          "[announce]") {
+  Hosts fleet;
+  fleet.announce({});
+  // All but the host itself, whose table is not told.
+  CHECK(fleet.knowing() == DataCentres * HostsEach - 1);
+  CHECK(fleet.CrossDataCentre == (DataCentres - 1) * AnnouncePlan::Relays);
+  CHECK(fleet.Messages < DataCentres * HostsEach * (AnnouncePlan::Relays + 1));
+}
+
+// Guards against news that one lost relay keeps from a data centre.
+TEST_CASE("one relay of each data centre is enough", "[announce]") {
+  Hosts fleet;
+  AnnouncePlan same(*fleet.Tables[0], hostAt(0), "dc0", 1);
+  std::map<std::string, std::size_t> firstRelays;
+  for (const auto &it : same.targets()) {
+    const auto n = fleet.Index.at(it.Peer);
+    if (it.Relays) {
+      firstRelays.emplace(stateOf(n, 1).DataCentre, n);
+    }
+  }
+  REQUIRE(firstRelays.size() == DataCentres - 1);
+  std::vector<std::size_t> lost;
+  for (const auto &it : firstRelays) {
+    lost.push_back(it.second);
+  }
+  fleet.announce(lost);
+  CHECK(fleet.knowing() == DataCentres * HostsEach - 1);
+}
+
+// Guards against a server that left and is used again, since a copy of an older
+// state, or of an earlier start of its daemon, came by another host.
+TEST_CASE("a state that was passed on is taken only if it is newer",
+          "[announce]") {
+  FleetTable table(1);
+  CHECK(table.updateFromOther(stateOf(3, 4), Start) == Hearsay::News);
+  CHECK(table.find(hostAt(3))->reachable());
+  CHECK(table.updateFromOther(stateOf(3, 4), Start) == Hearsay::Old);
+  CHECK(table.updateFromOther(stateOf(3, 2), Start) == Hearsay::Old);
+  auto earlierStart = stateOf(3, 9);
+  earlierStart.BootId = 77;
+  CHECK(table.updateFromOther(earlierStart, Start) == Hearsay::Unsure);
+  CHECK(table.find(hostAt(3))->State.Sequence == 4);
+  // A copy says nothing of whether this daemon can reach the host.
+  table.failed(hostAt(3), Start + seconds(1));
+  CHECK(table.updateFromOther(stateOf(3, 4), Start) == Hearsay::Old);
+  CHECK_FALSE(table.find(hostAt(3))->reachable());
+}
--- a/tests/unit/poison_spread_test.cpp
+++ b/tests/unit/poison_spread_test.cpp
@@ -43,7 +43,8 @@
            Sent <= maxMessages) {
       const auto message = Messages.top();
       Messages.pop();
-      if (const auto next = Tables[message.To].merge(message.Step, message.At)) {
+      if (const auto next =
+              Tables[message.To].merge(message.Step, message.At)) {
         spread(*next, message.At);
       }
     }
