Let a few hosts read the operator's stream for all

Now two hosts of each data centre, chosen by rendezvous hashing, hold the poll. They tell four random hosts of the own and one of each other data centre of the place that they have reached; these fetch what they lack and tell others in turn. Greetings carry the place and the time since the store confirmed it. A host without a confirmation for 2.5 s reads by itself, and answers 503 in place of 404.

Ruled out: one reader, since the store may turn single hosts away; pushing the records themselves, which arrive several times.

--- a/include/chivefold/mesh/announce_plan.h
+++ b/include/chivefold/mesh/announce_plan.h
@@ -7,7 +7,9 @@
 
 #include "chivefold/mesh/fleet_table.h"
 
+#include <map>
 #include <random>
+#include <string>
 #include <vector>
 
 namespace chivefold {
@@ -42,7 +44,15 @@
   /** @return to whom this host passes on the news of @p origin. */
   std::vector<Address> relayTargets(const Address &origin) const;
 
+  /** @return up to @p own hosts of this data centre and @p others of each other
+   * one, drawn at random. */
+  std::vector<Address> sample(std::size_t own, std::size_t others);
+
 private:
+  using ByDataCentre = std::map<std::string, std::vector<Address>>;
+
+  ByDataCentre shuffledHosts();
+
   const FleetTable &Fleet;
   const Address Own;
   const std::string DataCentre;
--- a/include/chivefold/sidecar/fleet_service.h
+++ b/include/chivefold/sidecar/fleet_service.h
@@ -18,8 +18,10 @@
 
 /** What other services add to a greeting and read from one. */
 struct GreetingExtras {
+  /** Place that the sender has reached in the operator's stream. */
   std::uint64_t OperatorEnd = 0;
-  Duration StoreAge{};
+  /** Time since the store confirmed that there is nothing behind it. */
+  Duration Unconfirmed{};
   std::uint64_t RolloutDigest = 0;
   /** Requests that servers died of, as far as the sender knows. */
   std::vector<std::unique_ptr<wire::PoisonDeathT>> Deaths;
--- a/include/chivefold/sidecar/proxy_service.h
+++ b/include/chivefold/sidecar/proxy_service.h
@@ -15,6 +15,7 @@
 #include "chivefold/mesh/placement.h"
 #include "chivefold/mesh/service_split.h"
 #include "chivefold/sidecar/backend_service.h"
+#include "chivefold/sidecar/order_feed.h"
 #include "chivefold/sidecar/ports.h"
 
 #include <map>
@@ -28,6 +29,7 @@
 struct ProxyParts {
   const PlatformPorts &Ports;
   const OperatorState &Orders;
+  const OrderFeed &Feed;
   Placement &Servers;
   BackendService &Backend;
   const PoisonService &Poison;
--- a/src/mesh/announce_plan.cpp
+++ b/src/mesh/announce_plan.cpp
@@ -1,7 +1,7 @@
 #include "chivefold/mesh/announce_plan.h"
 
 #include <algorithm>
-#include <map>
+#include <iterator>
 
 namespace chivefold {
 
@@ -10,24 +10,28 @@
     : Fleet(fleet), Own(std::move(own)), DataCentre(std::move(dataCentre)),
       Random(seed) {}
 
-std::vector<AnnounceTarget> AnnouncePlan::targets() {
-  std::vector<AnnounceTarget> out;
-  std::map<std::string, std::vector<Address>> others;
+// Reachable hosts in random order.
+AnnouncePlan::ByDataCentre AnnouncePlan::shuffledHosts() {
+  ByDataCentre out;
   for (const auto &it : Fleet.hosts()) {
-    if (!it.second.reachable() || it.first == Own) {
-      continue;
-    }
-    if (it.second.State.DataCentre == DataCentre) {
-      out.push_back({it.first, false});
-    } else {
-      others[it.second.State.DataCentre].push_back(it.first);
+    if (it.second.reachable() && it.first != Own) {
+      out[it.second.State.DataCentre].push_back(it.first);
     }
   }
-  for (auto &it : others) {
+  for (auto &it : out) {
+    std::shuffle(it.second.begin(), it.second.end(), Random);
+  }
+  return out;
+}
+
+std::vector<AnnounceTarget> AnnouncePlan::targets() {
+  std::vector<AnnounceTarget> out;
+  for (auto &it : shuffledHosts()) {
     auto &hosts = it.second;
-    const bool relays = hosts.size() > Relays;
-    std::shuffle(hosts.begin(), hosts.end(), Random);
-    hosts.resize(std::min(hosts.size(), Relays));
+    const bool relays = it.first != DataCentre && hosts.size() > Relays;
+    if (relays) {
+      hosts.resize(Relays);
+    }
     for (auto &host : hosts) {
       out.push_back({std::move(host), relays});
     }
@@ -35,6 +39,16 @@
   return out;
 }
 
+std::vector<Address> AnnouncePlan::sample(std::size_t own, std::size_t others) {
+  std::vector<Address> out;
+  for (auto &it : shuffledHosts()) {
+    auto &hosts = it.second;
+    hosts.resize(std::min(hosts.size(), it.first == DataCentre ? own : others));
+    std::move(hosts.begin(), hosts.end(), std::back_inserter(out));
+  }
+  return out;
+}
+
 std::vector<Address> AnnouncePlan::relayTargets(const Address &origin) const {
   std::vector<Address> out;
   for (const auto &it : Fleet.hosts()) {
--- a/src/mesh/operator_state.cpp
+++ b/src/mesh/operator_state.cpp
@@ -86,6 +86,9 @@
                     [&](const auto &r) { return r.Key == known.Key; });
     if (!listed && known.Value && known.Offset < end) {
       known.Value.reset();
+      // It was dropped somewhere before the end; peers that know less ask for
+      // what lies behind their place.
+      known.Offset = end - 1;
       merge(change, drop(known));
     }
   }
--- a/src/sidecar/fleet_service.cpp
+++ b/src/sidecar/fleet_service.cpp
@@ -223,8 +223,8 @@
   out.address_digest = Table.addressDigest();
   out.operator_end = extras.OperatorEnd;
   out.rollout_digest = extras.RolloutDigest;
-  out.store_age_ms = static_cast<std::uint32_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(extras.StoreAge)
+  out.unconfirmed_ms = static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(extras.Unconfirmed)
           .count());
   return out;
 }
@@ -280,7 +280,7 @@
   GreetingExtras extras;
   extras.OperatorEnd = hello.operator_end;
   extras.RolloutDigest = hello.rollout_digest;
-  extras.StoreAge = std::chrono::milliseconds(hello.store_age_ms);
+  extras.Unconfirmed = std::chrono::milliseconds(hello.unconfirmed_ms);
   extras.Deaths = std::move(hello.deaths);
   OnHeard(peer, extras);
 }
--- a/src/sidecar/order_feed.cpp
+++ b/src/sidecar/order_feed.cpp
@@ -6,24 +6,35 @@
 
 namespace chivefold {
 
-OrderFeed::OrderFeed(Reactor &reactor, KeyedStore &store, PeerNetwork &network,
-                     OperatorState &state,
+OrderFeed::OrderFeed(Reactor &reactor, const OrderFeedParts &parts, Address own,
                      std::function<void(const OperatorChange &)> changed,
                      std::uint64_t seed)
-    : Loop(reactor), Store(store), Network(network), State(state),
+    : Loop(reactor), Parts(parts), State(parts.State), Own(std::move(own)),
       Changed(std::move(changed)), Random(seed) {}
 
-void OrderFeed::start() { list(""); }
+void OrderFeed::start() {
+  Reading = true;
+  list("");
+  Loop.schedule(Loop.now() + DutyInterval, [this] { checkDuty(); });
+}
 
-Duration OrderFeed::storeAge() const {
+Duration OrderFeed::unconfirmedFor() const {
   constexpr Duration max = std::chrono::hours(1);
-  return AnsweredAt == TimePoint{} ? max
-                                   : std::min(max, Loop.now() - AnsweredAt);
+  return ConfirmedAt == TimePoint{} ? max
+                                    : std::min(max, Loop.now() - ConfirmedAt);
+}
+
+void OrderFeed::checkDuty() {
+  Loop.schedule(Loop.now() + DutyInterval, [this] { checkDuty(); });
+  if (!Reading && (Parts.Readers.includesOwn() || mayBeBehind())) {
+    poll();
+  }
 }
 
 void OrderFeed::list(const std::string &afterKey) {
-  Store.list(KeyedStream::Orders, afterKey, Loop.now() + ListTimeout,
-             [this](const Result<KeyedBatch> &batch) { onListed(batch); });
+  Parts.Store.list(
+      KeyedStream::Orders, afterKey, Loop.now() + ListTimeout,
+      [this](const Result<KeyedBatch> &batch) { onListed(batch); });
 }
 
 void OrderFeed::onListed(const Result<KeyedBatch> &batch) {
@@ -42,15 +53,19 @@
   Listing.clear();
   ListingEnd.reset();
   Complete = true;
+  Reading = false;
+  ConfirmedAt = Loop.now();
   report(change);
-  poll();
 }
 
 void OrderFeed::poll() {
   const auto now = Loop.now();
-  Store.read(KeyedStream::Orders, Next, now + PollTime,
-             now + PollTime + AnswerSlack,
-             [this](const Result<KeyedBatch> &batch) { onPolled(batch); });
+  Reading = true;
+  // What peers told need not be read again.
+  Next = std::max(Next, State.end());
+  Parts.Store.read(
+      KeyedStream::Orders, Next, now + PollTime, now + PollTime + AnswerSlack,
+      [this](const Result<KeyedBatch> &batch) { onPolled(batch); });
 }
 
 void OrderFeed::onPolled(const Result<KeyedBatch> &batch) {
@@ -58,12 +73,17 @@
     return pause(batch.reason(), batch.reason().Code == ErrorCode::LogTrimmed);
   }
   storeAnswered();
+  ConfirmedAt = Loop.now();
   if (!batch->Records.empty()) {
     Next = batch->Records.back().Offset + 1;
     State.advance(Next);
     apply(batch->Records);
+    tellOthers(1);
+  }
+  Reading = false;
+  if (Parts.Readers.includesOwn()) {
+    poll();
   }
-  poll();
 }
 
 void OrderFeed::apply(const std::vector<KeyedRecord> &records) {
@@ -94,8 +114,8 @@
               {"end", State.end()},
               {"rollouts", State.rollouts().size()},
               {"evacuated", State.evacuated().size()},
-              {"store_age_ms",
-               static_cast<std::uint64_t>(storeAge().count() / 1000)}});
+              {"unconfirmed_ms",
+               static_cast<std::uint64_t>(unconfirmedFor().count() / 1000)}});
   Changed(change);
 }
 
@@ -131,22 +151,63 @@
 }
 
 void OrderFeed::onPeer(const Address &peer, const GreetingExtras &extras) {
-  const bool peerKnowsMore = extras.OperatorEnd > State.end();
-  if (!peerKnowsMore || Fetching || storeAge() < StaleAfter) {
+  if (extras.OperatorEnd <= State.end()) {
+    ConfirmedAt = std::max(ConfirmedAt, Loop.now() - extras.Unconfirmed);
+    return;
+  }
+  const bool storeTells = Reading && Loop.now() < AnsweredAt + StaleAfter;
+  if (!Fetching && !storeTells) {
+    fetch(peer);
+  }
+}
+
+void OrderFeed::onNotice(const wire::OrdersNoticeT &notice) {
+  const auto peer = fromWire(notice.from.get());
+  if (!peer || notice.end <= State.end()) {
     return;
   }
+  if (!Fetching) {
+    return fetch(*peer);
+  }
+  Sources.push_back(*peer);
+  if (Sources.size() > MaxSources) {
+    Sources.pop_front();
+  }
+}
+
+void OrderFeed::fetch(const Address &peer) {
   Fetching = true;
   wire::FetchOrdersT fetch;
   fetch.after = State.end();
-  Network.request(peer, frameBody(fetch), Loop.now() + FetchTimeout,
-                  [this](PeerOutcome outcome) {
-                    Fetching = false;
-                    auto *orders =
-                        outcome.Answer ? outcome.Answer->AsOrders() : nullptr;
-                    if (orders != nullptr) {
-                      takeOrders(*orders);
-                    }
-                  });
+  Parts.Network.request(peer, frameBody(fetch), Loop.now() + FetchTimeout,
+                        [this, peer](PeerOutcome outcome) {
+                          Fetching = false;
+                          auto *orders = outcome.Answer
+                                             ? outcome.Answer->AsOrders()
+                                             : nullptr;
+                          if (orders != nullptr) {
+                            Sources.clear();
+                            return takeOrders(*orders);
+                          }
+                          Lines.info("a host did not send its orders",
+                                     {{"host", toString(peer)},
+                                      {"reason", outcome.Failure.Message}});
+                          if (!Sources.empty()) {
+                            const auto next = Sources.back();
+                            Sources.pop_back();
+                            this->fetch(next);
+                          }
+                        });
+}
+
+// Tells some random hosts that there is more here than they may know.
+void OrderFeed::tellOthers(std::size_t perOtherDataCentre) {
+  wire::OrdersNoticeT notice;
+  notice.from = addressToWire(Own);
+  notice.end = State.end();
+  for (const auto &it : Parts.Plan.sample(NoticeFanout, perOtherDataCentre)) {
+    Parts.Network.send(it, frameBody(notice));
+  }
 }
 
 void OrderFeed::takeOrders(wire::OrdersT &orders) {
@@ -160,18 +221,26 @@
     }
     records.push_back(std::move(record));
   }
+  const bool isNews = orders.end > State.end();
   State.advance(orders.end);
   Complete = true;
   apply(records);
+  if (isNews) {
+    tellOthers(0);
+  }
 }
 
-void OrderFeed::onFetch(const PeerResponder &respond) const {
+void OrderFeed::onFetch(const wire::FetchOrdersT &fetch,
+                        const PeerResponder &respond) const {
   if (!respond) {
     return;
   }
   wire::OrdersT out;
   out.end = State.end();
   for (const auto &it : State.records()) {
+    if (it.Offset < fetch.after) {
+      continue;
+    }
     auto record = std::make_unique<wire::KeyedRecordT>();
     record->key = it.Key;
     record->offset = it.Offset;
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -81,7 +81,12 @@
 void ProxyService::answerUnrouted(const std::shared_ptr<HttpExchange> &exchange,
                                   const ClientRequest &client) {
   const auto &routes = Parts.Orders.routes();
-  const int status = !routes ? 503 : client.Hostname.empty() ? 400 : 404;
+  // The route may be one that this daemon has yet to learn of.
+  const bool mayCome = Parts.Feed.mayBeBehind();
+  const int status = !routes                   ? 503
+                     : client.Hostname.empty() ? 400
+                     : mayCome                 ? 503
+                                               : 404;
   Lines.info("no route",
              {{"request", client.Id},
               {"status", static_cast<std::uint64_t>(status)},
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -72,6 +72,7 @@
   VersionPolicy Versions;
   FleetTable Hosts;
   AnnouncePlan Plan;
+  OrderReaders Readers;
   Placement Servers;
   Metrics Figures;
   HttpClient ServerHttp;
@@ -97,6 +98,7 @@
       BootId(Seeds()), StartedAt(Loop.now()), Orders(ports.Orders),
       Versions(Orders), Hosts(Seeds()),
       Plan(Hosts, Own.PeerListen, Own.DataCentre, Seeds()),
+      Readers(Hosts, Own.PeerListen, Own.DataCentre),
       Servers(Hosts, Orders, Versions, Own.PeerListen, Own.DataCentre, Seeds()),
       Figures(MetricsSettings()), ServerHttp(Loop, InitialConnections),
       Network(Loop, Own.PeerListen,
@@ -113,7 +115,7 @@
           [this] { return self(); },
           [this] {
             return GreetingExtras{
-                Orders.end(), Feed.storeAge(), Rollouts.digest(),
+                Orders.end(), Feed.unconfirmedFor(), Rollouts.digest(),
                 Poison.deathsToSend(PoisonService::DeathsPerProbe)};
           },
           [this](const Address &from, const GreetingExtras &extras) {
@@ -123,12 +125,13 @@
           },
           [this] { Servers.refresh(); }, Seeds()),
       Feed(
-          Loop, store, Network, Orders,
+          Loop, {store, Network, Orders, Plan, Readers}, Own.PeerListen,
           [this](const OperatorChange &change) { onOrders(change); }, Seeds()),
       Rollouts(Loop, Network,
                {store, ports, Orders, Hosts, Servers, Backend, Versions},
                Own.PeerListen, [this] { Servers.refresh(); }),
-      Proxy(Loop, Network, {ports, Orders, Servers, Backend, Poison, Figures},
+      Proxy(Loop, Network,
+            {ports, Orders, Feed, Servers, Backend, Poison, Figures},
             Own.PeerListen, Own.Service),
       CallerServer(Loop, Own.CallerListen,
                    [this](const std::shared_ptr<HttpExchange> &exchange) {
@@ -188,7 +191,9 @@
   case wire::FrameBody::Hello:
     return Fleet.onHello(*body.AsHello(), respond);
   case wire::FrameBody::FetchOrders:
-    return Feed.onFetch(respond);
+    return Feed.onFetch(*body.AsFetchOrders(), respond);
+  case wire::FrameBody::OrdersNotice:
+    return Feed.onNotice(*body.AsOrdersNotice());
   case wire::FrameBody::Rollouts:
     return Rollouts.onRollouts(*body.AsRollouts());
   case wire::FrameBody::PoisonDeath:
