Fetch orders within the data centre; keep 1,024 links

And at the start of 295 hosts links were reset ("lost a host", 41 of 42 by reset on two watched groups of hosts): a daemon kept 256 links and closed others to make room.

Records are fetched from another data centre only if no host of the own one had them for 400 ms, and a daemon keeps 1,024 links, of 4,100 descriptors. The test of the bound lets the loop accept in between, since the queue of connections is shorter than the new bound.

--- a/include/chivefold/io/peer_network.h
+++ b/include/chivefold/io/peer_network.h
@@ -25,7 +25,7 @@
 struct PeerLimits {
   static constexpr std::size_t MaxFrameBytes = 4U << 20U;
   /** Open links of a daemon; the least recently used idle one is closed. */
-  static constexpr std::size_t MaxLinks = 256;
+  static constexpr std::size_t MaxLinks = 1024;
   /** Bytes waiting on one link; beyond it requests fail as not sent. */
   static constexpr std::size_t MaxQueuedBytes = 8U << 20U;
   /** A link with outstanding requests is pinged at this interval. */
--- a/include/chivefold/mesh/announce_plan.h
+++ b/include/chivefold/mesh/announce_plan.h
@@ -48,6 +48,10 @@
    * one, drawn at random. */
   std::vector<Address> sample(std::size_t own, std::size_t others);
 
+  /** @return whether to ask @p peer for bulky content now: it is in this data
+   * centre, or no other host of this one can be reached. */
+  bool isNear(const Address &peer) const;
+
 private:
   using ByDataCentre = std::map<std::string, std::vector<Address>>;
 
--- a/include/chivefold/sidecar/fleet_service.h
+++ b/include/chivefold/sidecar/fleet_service.h
@@ -95,7 +95,6 @@
   void noteNews(const HostState &state, bool isNew);
   void takeExtras(const Address &peer, wire::HelloT &hello);
   void takeAddresses(const wire::HelloT &hello);
-  bool mayAskForAddresses(const Address &peer) const;
 
   Reactor &Loop;
   PeerNetwork &Network;
--- a/include/chivefold/sidecar/order_feed.h
+++ b/include/chivefold/sidecar/order_feed.h
@@ -57,6 +57,9 @@
   /** Hosts of the own data centre that are told of a new place: an epidemic
    * that reaches 98 of 100 at once, greetings find the rest. */
   static constexpr std::size_t NoticeFanout = 4;
+  /** Records are fetched from another data centre only if no host of this one
+   * had them for this time: a configuration can have 256 KB. */
+  static constexpr Duration PreferNear = std::chrono::milliseconds(400);
   /** Hosts that can be asked for records, newest notice last. */
   static constexpr std::size_t MaxSources = 4;
 
@@ -94,6 +97,8 @@
   void apply(const std::vector<KeyedRecord> &records);
   void report(const OperatorChange &change);
   void storeAnswered();
+  void learnOfMore(const Address &peer, std::uint64_t end);
+  void fetchFromSource();
   void fetch(const Address &peer);
   void takeOrders(wire::OrdersT &orders);
   void tellOthers(std::size_t perOtherDataCentre);
@@ -111,8 +116,13 @@
   TimePoint AnsweredAt{};
   /** When the store had no further records than are known here. */
   TimePoint ConfirmedAt{};
-  /** Hosts that know more. */
-  std::deque<Address> Sources;
+  /** A host that knows more, and the place that it has reached. */
+  struct Source {
+    Address Peer;
+    std::uint64_t End = 0;
+  };
+  std::deque<Source> Sources;
+  TimerId SourceTimer = TimerId::None;
   /** A listing, a poll or the pause after a failed one is in progress. */
   bool Reading = false;
   std::uint32_t Failures = 0;
--- a/src/mesh/announce_plan.cpp
+++ b/src/mesh/announce_plan.cpp
@@ -49,6 +49,18 @@
   return out;
 }
 
+bool AnnouncePlan::isNear(const Address &peer) const {
+  const auto isLocal = [this](const HostEntry &it) {
+    return it.reachable() && it.State.DataCentre == DataCentre;
+  };
+  const auto *entry = Fleet.find(peer);
+  return (entry != nullptr && isLocal(*entry)) ||
+         std::none_of(Fleet.hosts().begin(), Fleet.hosts().end(),
+                      [&](const auto &it) {
+                        return it.first != Own && isLocal(it.second);
+                      });
+}
+
 std::vector<Address> AnnouncePlan::relayTargets(const Address &origin) const {
   std::vector<Address> out;
   for (const auto &it : Fleet.hosts()) {
--- a/src/sidecar/fleet_service.cpp
+++ b/src/sidecar/fleet_service.cpp
@@ -166,7 +166,7 @@
   }
   auto greeting = hello();
   addDeaths(greeting);
-  if (AddressesDiffer && mayAskForAddresses(peer)) {
+  if (AddressesDiffer && Loop.now() >= NextAddresses && Plan.isNear(peer)) {
     greeting.wants_addresses = true;
     NextAddresses = Loop.now() + AddressPause;
     AddressPause = std::min(2 * AddressPause, MaxAddressPause);
@@ -190,25 +190,6 @@
       });
 }
 
-// Bytes within a data centre cost less than those between them.
-bool FleetService::mayAskForAddresses(const Address &peer) const {
-  if (Loop.now() < NextAddresses) {
-    return false;
-  }
-  const auto dataCentreOf = [this](const Address &host) {
-    const auto *entry = Table.find(host);
-    return entry != nullptr && entry->reachable() ? entry->State.DataCentre
-                                                  : std::string();
-  };
-  const auto own = dataCentreOf(Own);
-  return dataCentreOf(peer) == own ||
-         std::none_of(Table.hosts().begin(), Table.hosts().end(),
-                      [&](const auto &it) {
-                        return it.first != Own && it.second.reachable() &&
-                               it.second.State.DataCentre == own;
-                      });
-}
-
 wire::HelloT FleetService::hello() const {
   const auto self = Self();
   const auto extras = OwnExtras();
--- a/src/sidecar/order_feed.cpp
+++ b/src/sidecar/order_feed.cpp
@@ -156,23 +156,43 @@
     return;
   }
   const bool storeTells = Reading && Loop.now() < AnsweredAt + StaleAfter;
-  if (!Fetching && !storeTells) {
-    fetch(peer);
+  if (!storeTells) {
+    learnOfMore(peer, extras.OperatorEnd);
   }
 }
 
 void OrderFeed::onNotice(const wire::OrdersNoticeT &notice) {
   const auto peer = fromWire(notice.from.get());
-  if (!peer || notice.end <= State.end()) {
-    return;
+  if (peer && notice.end > State.end()) {
+    learnOfMore(*peer, notice.end);
   }
-  if (!Fetching) {
-    return fetch(*peer);
+}
+
+void OrderFeed::learnOfMore(const Address &peer, std::uint64_t end) {
+  if (!Fetching && Parts.Plan.isNear(peer)) {
+    return fetch(peer);
   }
-  Sources.push_back(*peer);
+  Sources.push_back({peer, end});
   if (Sources.size() > MaxSources) {
     Sources.pop_front();
   }
+  if (SourceTimer == TimerId::None) {
+    SourceTimer = Loop.schedule(Loop.now() + PreferNear, [this] {
+      SourceTimer = TimerId::None;
+      fetchFromSource();
+    });
+  }
+}
+
+// Asks the host that told last of what is still not known here.
+void OrderFeed::fetchFromSource() {
+  while (!Fetching && !Sources.empty()) {
+    const auto source = Sources.back();
+    Sources.pop_back();
+    if (source.End > State.end()) {
+      return fetch(source.Peer);
+    }
+  }
 }
 
 void OrderFeed::fetch(const Address &peer) {
@@ -186,17 +206,12 @@
                                              ? outcome.Answer->AsOrders()
                                              : nullptr;
                           if (orders != nullptr) {
-                            Sources.clear();
                             return takeOrders(*orders);
                           }
                           Lines.info("a host did not send its orders",
                                      {{"host", toString(peer)},
                                       {"reason", outcome.Failure.Message}});
-                          if (!Sources.empty()) {
-                            const auto next = Sources.back();
-                            Sources.pop_back();
-                            this->fetch(next);
-                          }
+                          fetchFromSource();
                         });
 }
 
--- a/tests/unit/order_feed_test.cpp
+++ b/tests/unit/order_feed_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 #include <memory>
 
 using namespace chivefold;
@@ -222,6 +223,26 @@
   }
 }
 
+// Guards against a configuration that crosses to each host of another data
+// centre by itself.
+TEST_CASE("hosts fetch orders within their data centre", "[orders]") {
+  Feeds feeds;
+  feeds.run(OrderFeed::DutyInterval * 2);
+  const auto writtenAt = feeds.Loop.now();
+  feeds.write(2);
+  CHECK(feeds.runUntil([&] { return feeds.knowing(2) == feeds.All.size(); }));
+  // On a machine that is too busy for that, hosts rightly ask further away.
+  const bool inTime = feeds.Loop.now() < writtenAt + OrderFeed::PreferNear;
+  // Each host but the readers is served once, by one of its data centre.
+  std::map<std::string, std::size_t> served;
+  for (const auto &it : feeds.All) {
+    served[it->DataCentre] += it->Fetches;
+  }
+  for (const auto &it : served) {
+    CHECK((!inTime || it.second == HostsEach - OrderReaders::PerDataCentre));
+  }
+}
+
 // Guards against a data centre that does not learn of a configuration since the
 // store turns its readers away, and against a daemon that answers by a version
 // that was replaced.
--- a/tests/unit/peer_network_test.cpp
+++ b/tests/unit/peer_network_test.cpp
@@ -167,6 +167,12 @@
   std::vector<RawSocket> idle;
   for (std::size_t i = 0; i < PeerLimits::MaxLinks + 20; ++i) {
     idle.push_back(RawSocket::connectTo(f.Server->bound()));
+    // The queue of connections that wait to be accepted is shorter.
+    if (i % 8 == 0) {
+      f.Loop.schedule(f.Loop.now() + std::chrono::milliseconds(1),
+                      [&f] { f.Loop.stop(); });
+      f.Loop.run();
+    }
   }
   f.ask(f.Server->bound(), 1);
   REQUIRE(runUntil(f.Loop, [&] { return f.Waiting.size() == 1; }));
