Read what arrived before waiting work starts

The loop runs all tasks that are due and then one event: after a pause of the process, waiting work was started before the end of its caller's link was read.

After a pause the loop now reads what has arrived before it runs what is due, and a call that had to wait is started only after what its caller's link holds was read.

--- a/include/chivefold/io/peer_network.h
+++ b/include/chivefold/io/peer_network.h
@@ -111,6 +111,11 @@
    */
   void onCancel(std::function<void(std::uint64_t token)> task);
 
+  /** Reads what the peer of an unanswered request has sent meanwhile, which may
+   * run other handlers. @return whether the request still waits for its answer.
+   */
+  bool isWanted(std::uint64_t token);
+
   /** @return the token of the request being handled. Precondition: inside the
    * handler, for a frame with a responder. */
   std::uint64_t requestToken() const;
--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -93,9 +93,14 @@
   /** The operator's orders changed. */
   void ordersChanged();
 
+  /** @return whether the caller still waits; asked before a call that had to
+   * wait is run, and may cancel it. */
+  using StillWanted = std::function<bool()>;
+
   /** Runs a call; @p reply runs once unless the call is cancelled, and may run
    * before this returns. */
-  BackendCallId run(CallMessage call, CallReply reply);
+  BackendCallId run(CallMessage call, CallReply reply,
+                    StillWanted stillWanted = {});
   bool isOpen(BackendCallId id) const { return Calls.count(id) > 0; }
   /** Ends a call: one that waits is dropped, one that runs is aborted. */
   void cancel(BackendCallId id);
@@ -117,6 +122,7 @@
   struct Call {
     CallMessage Message;
     CallReply Reply;
+    StillWanted IsWanted;
     HttpCallId Http = HttpCallId::None;
     TimePoint StartedAt{};
     RequestDigest Digest = RequestDigest::None;
--- a/src/io/peer_link.cpp
+++ b/src/io/peer_link.cpp
@@ -95,6 +95,12 @@
   opened();
 }
 
+void PeerLink::catchUp() {
+  if (Open && !Closed && !Parsing) {
+    receive();
+  }
+}
+
 void PeerLink::close() {
   if (Closed) {
     return;
@@ -187,7 +193,10 @@
     Input.append(chunk.data(), static_cast<std::size_t>(n));
     HeardAt = Loop.now();
     Owner.BytesReceived += static_cast<std::uint64_t>(n);
-    if (!parse()) {
+    Parsing = true;
+    const bool valid = parse();
+    Parsing = false;
+    if (!valid) {
       fail({ErrorCode::InvalidRecord, "invalid frame"});
       return;
     }
--- a/src/io/peer_link.h
+++ b/src/io/peer_link.h
@@ -50,6 +50,8 @@
   PeerLink &operator=(const PeerLink &) = delete;
 
   void connect();
+  /** Reads what has arrived, unless this runs inside a frame of the link. */
+  void catchUp();
   /** Takes over an accepted connection. */
   void accept(const ACE_SOCK_Stream &stream);
   void close();
@@ -103,6 +105,7 @@
   bool Open = false;
   bool Closed = false;
   bool Blocked = false;
+  bool Parsing = false;
   ACE_SOCK_Stream Stream;
   std::unique_ptr<DescriptorWatch> Watch;
   std::deque<OutFrame> Queue;
--- a/src/io/peer_network.cpp
+++ b/src/io/peer_network.cpp
@@ -71,6 +71,8 @@
   std::uint64_t NextRequest = 0;
   std::uint64_t NextToken = 0;
   std::uint64_t CurrentToken = 0;
+  /** Links of the requests that are served, by token. */
+  std::unordered_map<std::uint64_t, std::weak_ptr<PeerLink>> ServedOn;
   std::uint64_t Uses = 0;
   /** Frames sent, by kind. */
   std::array<PeerTraffic, static_cast<std::size_t>(wire::FrameBody::MAX) + 1>
@@ -288,6 +290,7 @@
   }
   link.watchSilence();
   const std::weak_ptr<PeerLink> weak = Links.at(&link);
+  ServedOn.emplace(token, weak);
   CurrentToken = token;
   Handler(link.peer(), frame.body,
           [this, weak, id, token](wire::FrameBodyUnion body) {
@@ -309,6 +312,7 @@
     return;
   }
   open->Served.erase(it);
+  ServedOn.erase(token);
   auto frame = encode(id, std::move(body));
   if (frame.empty() || !open->enqueue(std::move(frame), 0)) {
     open->failLater({ErrorCode::Overloaded, "cannot send an answer"});
@@ -332,6 +336,7 @@
 }
 
 void PeerNetwork::Impl::cancelled(std::uint64_t token) {
+  ServedOn.erase(token);
   if (CancelTask) {
     CancelTask(token);
   }
@@ -372,6 +377,15 @@
   State->CancelTask = std::move(task);
 }
 
+bool PeerNetwork::isWanted(std::uint64_t token) {
+  const auto it = State->ServedOn.find(token);
+  const auto link = it == State->ServedOn.end() ? nullptr : it->second.lock();
+  if (link) {
+    link->catchUp();
+  }
+  return State->ServedOn.count(token) > 0;
+}
+
 std::uint64_t PeerNetwork::requestToken() const { return State->CurrentToken; }
 
 std::vector<PeerTraffic> PeerNetwork::traffic() const {
--- a/src/io/reactor.cpp
+++ b/src/io/reactor.cpp
@@ -27,6 +27,11 @@
 constexpr std::size_t MaxDescriptors = 4096;
 
 constexpr auto MaxWait = std::chrono::seconds(60);
+/** A task that is later than this was held up by a pause of the process. */
+constexpr auto MaxLate = std::chrono::milliseconds(50);
+/** Events handled before tasks that were held up; bounds how much longer these
+ * wait under a flood. */
+constexpr int MaxEventsBefore = 512;
 
 TimePoint readClock() {
   timespec ts{};
@@ -116,6 +121,20 @@
     }
   }
 
+  // What arrived during a pause is read before tasks act on what was known
+  // before it: a caller may have left, or a permission ended.
+  void readAfterPause() {
+    if (Queue.empty() || readClock() < Queue.begin()->first.first + MaxLate) {
+      return;
+    }
+    for (int i = 0; i < MaxEventsBefore && !Stopped; ++i) {
+      auto wait = ACE_Time_Value::zero;
+      if (Ace.handle_events(&wait) <= 0) {
+        return;
+      }
+    }
+  }
+
   // Rounded up to whole milliseconds, the resolution of epoll: a wait that is
   // rounded down would spin until the deadline.
   ACE_Time_Value waitTime() const {
@@ -174,6 +193,7 @@
 void Reactor::run() {
   State->Ace.owner(ACE_Thread::self());
   while (!State->Stopped) {
+    State->readAfterPause();
     State->runDue();
     if (State->Stopped) {
       break;
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -173,7 +173,8 @@
   reply(std::move(result));
 }
 
-BackendCallId BackendService::run(CallMessage call, CallReply reply) {
+BackendCallId BackendService::run(CallMessage call, CallReply reply,
+                                  StillWanted stillWanted) {
   const auto id = static_cast<BackendCallId>(++NextCall);
   const auto reason = reasonToRefuse(call);
   if (reason != ErrorCode::Ok) {
@@ -196,6 +197,7 @@
   auto &entry = Calls[id];
   entry.Message = std::move(call);
   entry.Reply = std::move(reply);
+  entry.IsWanted = std::move(stillWanted);
   entry.Digest = digest;
   if (offer.Kind == Admitted::Run) {
     send(id);
@@ -400,7 +402,17 @@
   const auto now = Loop.now();
   drop(Gate.expire(now), ErrorCode::DeadlineExceeded);
   for (const auto id : Gate.start(now)) {
-    send(id);
+    const auto it = Calls.find(id);
+    if (it == Calls.end()) {
+      continue;
+    }
+    const auto isWanted = it->second.IsWanted;
+    if (isWanted && !isWanted()) {
+      cancel(id);
+    }
+    if (Calls.count(id) > 0) {
+      send(id);
+    }
   }
   armTimer();
 }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -213,11 +213,13 @@
     return;
   }
   const auto token = Network.requestToken();
-  const auto id = Backend.run(fromWire(request, Loop.now()),
-                              [this, token, respond](const CallResult &result) {
-                                PeerCalls.erase(token);
-                                respond(frameBody(toWire(result)));
-                              });
+  const auto id = Backend.run(
+      fromWire(request, Loop.now()),
+      [this, token, respond](const CallResult &result) {
+        PeerCalls.erase(token);
+        respond(frameBody(toWire(result)));
+      },
+      [this, token] { return Network.isWanted(token); });
   if (Backend.isOpen(id)) {
     PeerCalls[token] = id;
   }
--- a/tests/unit/backend_service_test.cpp
+++ b/tests/unit/backend_service_test.cpp
@@ -175,6 +175,48 @@
   CHECK(refused->Code == ErrorCode::Quarantined);
 }
 
+// Guards against a request that runs at a server after the daemon that sent it
+// is gone and its client was told that the outcome is unknown.
+TEST_CASE("a call that waited is not run for a caller that left", "[backend]") {
+  BackendFixture f;
+  f.configure();
+  REQUIRE(f.Backend.report(f.report("i", 1, 1)));
+  std::optional<CallResult> first;
+  std::thread server([&f] {
+    std::vector<RawSocket> open;
+    for (int i = 0; i < 4; ++i) {
+      open.push_back(f.Listener.accepted());
+      open.back().readUntil("\r\n\r\n");
+    }
+    for (const auto &s : open) {
+      s.write("HTTP/1.1 500 Error\r\nChivefold-Request-Id: q\r\n"
+              "Content-Length: 0\r\n\r\n");
+    }
+    // A fifth request would come on one of these.
+    for (const auto &s : open) {
+      s.setReceiveTimeout({0, 200'000});
+      CHECK(s.readAll().empty());
+    }
+  });
+  for (int i = 0; i < 4; ++i) {
+    f.Backend.run(f.call(), [&](CallResult r) { first = std::move(r); });
+  }
+  bool answered = false;
+  int asked = 0;
+  const auto waiting = f.Backend.run(
+      f.call(), [&](const CallResult &) { answered = true; },
+      [&] {
+        ++asked;
+        return false;
+      });
+  REQUIRE(f.Backend.isOpen(waiting));
+  REQUIRE(runUntil(f.Loop, [&] { return f.Backend.openCalls() == 0; }));
+  server.join();
+  CHECK(asked == 1);
+  CHECK_FALSE(answered);
+  CHECK(f.Backend.gate().InFlight == 0);
+}
+
 // Guards against a server that gets nothing until its next report since some of
 // its answers in a row were lost, though it lives.
 TEST_CASE("lost answers do not take a server out", "[backend]") {
--- a/tests/unit/peer_network_test.cpp
+++ b/tests/unit/peer_network_test.cpp
@@ -160,6 +160,20 @@
   }
 }
 
+// Guards against work that is started for a caller whose link has ended, though
+// the end was not read yet.
+TEST_CASE("the end of a link is read before its work starts",
+          "[peer_network]") {
+  PeerFixture f;
+  f.ask(f.Server->bound(), 1);
+  REQUIRE(runUntil(f.Loop, [&] { return f.Waiting.size() == 1; }));
+  const auto token = f.Tokens.front();
+  CHECK(f.Server->isWanted(token));
+  f.Client.reset();
+  CHECK_FALSE(f.Server->isWanted(token));
+  CHECK(f.Cancelled == f.Tokens);
+}
+
 // Guards against links without bound: the oldest idle ones are closed, and a
 // request fails as not sent when all are in use.
 TEST_CASE("links are bounded", "[peer_network]") {
--- a/tests/unit/reactor_test.cpp
+++ b/tests/unit/reactor_test.cpp
@@ -1,6 +1,7 @@
 #include "chivefold/io/reactor.h"
 
 #include <ace/Reactor.h>
+#include <array>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <fcntl.h>
@@ -57,6 +58,50 @@
   CHECK_FALSE(late);
 }
 
+// Guards against work that is started for a caller that left while this process
+// was paused: the task that was due ran before what had arrived was read.
+TEST_CASE("after a pause what arrived comes before what is due", "[reactor]") {
+  Reactor reactor;
+  std::string order;
+  struct Handler : ACE_Event_Handler {
+    int handle_input(ACE_HANDLE fd) override {
+      char byte = 0;
+      CHECK(read(fd, &byte, 1) == 1);
+      *Order += byte;
+      return 0;
+    }
+    std::string *Order = nullptr;
+  };
+  constexpr std::size_t n = 3;
+  std::array<std::array<int, 2>, n> pipes{};
+  std::array<Handler, n> handlers;
+  for (std::size_t i = 0; i < n; ++i) {
+    REQUIRE(pipe(pipes[i].data()) == 0);
+    handlers[i].Order = &order;
+    REQUIRE(reactor.ace().register_handler(pipes[i][0], &handlers[i],
+                                           ACE_Event_Handler::READ_MASK) == 0);
+  }
+  const auto start = reactor.now();
+  reactor.schedule(start, [&] {
+    for (const auto &it : pipes) {
+      CHECK(write(it[1], "r", 1) == 1);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(120));
+  });
+  reactor.schedule(start + std::chrono::milliseconds(1), [&] {
+    order += 't';
+    reactor.stop();
+  });
+  reactor.run();
+  CHECK(order == "rrrt");
+  for (std::size_t i = 0; i < n; ++i) {
+    reactor.ace().remove_handler(pipes[i][0], ACE_Event_Handler::READ_MASK |
+                                                  ACE_Event_Handler::DONT_CALL);
+    close(pipes[i][0]);
+    close(pipes[i][1]);
+  }
+}
+
 // Guards against a handle table or a process limit that is too small for the
 // callers, links and calls of a daemon.
 TEST_CASE("the loop holds 2,048 descriptors", "[reactor]") {
