Leave the old version a part until completion

Requests that it failed were sent to its other servers, since the old version took none any more, and those that full servers had refused came on top.

The share before completion is 95 in 100, so that requests that fail at the new version are repeated at the old one, and the budget allows for 1.15 times the rate that was answered.

--- a/include/chivefold/mesh/exposure_budget.h
+++ b/include/chivefold/mesh/exposure_budget.h
@@ -25,8 +25,11 @@
 public:
   /** Part of the bound that is spent; the rest is for requests under way and
    * for a rate that falls. */
-  static constexpr double SharePart = 0.92;
-  static constexpr double SlackPart = 0.85;
+  static constexpr double SharePart = 0.97;
+  static constexpr double SlackPart = 0.9;
+  /** A version that gets all requests may see more than the rate that was
+   * answered: those that full servers had refused, too. */
+  static constexpr double Surge = 1.15;
   /** Time constant of the rate of requests. */
   static constexpr Duration RateTime = std::chrono::milliseconds(1500);
 
--- a/include/chivefold/mesh/rollout_driver.h
+++ b/include/chivefold/mesh/rollout_driver.h
@@ -52,13 +52,16 @@
   std::uint32_t MaxTestShare = 1500;
   /** A test share is changed only if it is off by more than this part. */
   double ShareTolerance = 0.3;
-  /** Time before the deadline from which the version gets all requests. It has
-   * to cover what follows, since a version that is bad under its full load only
-   * keeps them until the deadline. */
-  Duration FullFrom = std::chrono::milliseconds(1350);
-  /** Time at the full share before completion, in which every daemon learns of
+  /** Share before completion. A little less than all, so that the old version
+   * still takes requests that failed at the new one. */
+  std::uint32_t TopShare = 9500;
+  /** Time before the deadline from which the version gets that share, if the
+   * bound covers it until then: a version that is bad under its full load only
+   * may be found too late. */
+  Duration TopFrom = std::chrono::milliseconds(1300);
+  /** Time at the top share before completion, in which every daemon learns of
    * it and requests at the old version end. */
-  Duration FullShareTime = std::chrono::milliseconds(350);
+  Duration TopShareTime = std::chrono::milliseconds(300);
   /** Time before the deadline from which the rollout is completed; a write that
    * has to be repeated still is in time. */
   Duration CompleteFrom = std::chrono::milliseconds(800);
@@ -69,7 +72,7 @@
   /** Part of the servers of which more must be suspicious before the version
    * is: a few may be slow or failing by themselves. */
   double SuspiciousPart = 0.5;
-  /** Calls of the new version before it gets all requests. */
+  /** Calls of the new version before it gets the top share. */
   double MinTestCalls = 12;
   /** Calls after which a server counts as one that shows the version. */
   double MinServerCalls = 4;
@@ -108,11 +111,11 @@
 
 /**
  * Tests the version at the share that the bound of its exposure allows, gives
- * it all requests shortly before the deadline if the evidence allows that, and
- * takes it back as soon as the sequential test calls it bad on most of its
- * servers. Answers versions that fail or slow down at once, late, under load or
- * on one route, and good versions of which one server is slow. One object for
- * each order. Not thread-safe.
+ * it nearly all requests shortly before the deadline if the evidence allows
+ * that, and takes it back as soon as the sequential test calls it bad on most
+ * of its servers. Answers versions that fail or slow down at once, late, under
+ * load or on one route, and good versions of which one server is slow. One
+ * object for each order. Not thread-safe.
  */
 class RolloutDriver {
 public:
--- a/src/mesh/exposure_budget.cpp
+++ b/src/mesh/exposure_budget.cpp
@@ -44,7 +44,8 @@
 
 double ExposureBudget::partUntil(TimePoint fullFrom, TimePoint deadline,
                                  TimePoint now) const {
-  const double needed = Rate * std::max(0.0, seconds(deadline - fullFrom));
+  const double needed =
+      Surge * Rate * std::max(0.0, seconds(deadline - fullFrom));
   // A moment at least, so that the part stays finite as that time comes.
   const double ahead = std::max(0.3, seconds(fullFrom - now));
   return std::clamp(
@@ -52,8 +53,8 @@
 }
 
 bool ExposureBudget::coversAll(TimePoint deadline, TimePoint now) const {
-  return Rate > 0 &&
-         Rate * std::max(0.0, seconds(deadline - now)) <= left(deadline, now);
+  const double ahead = std::max(0.0, seconds(deadline - now));
+  return Rate > 0 && Surge * Rate * ahead <= left(deadline, now);
 }
 
 } // namespace chivefold
--- a/src/mesh/rollout_driver.cpp
+++ b/src/mesh/rollout_driver.cpp
@@ -73,12 +73,12 @@
 }
 
 bool RolloutDriver::mayComplete(TimePoint now, const RolloutView &view) const {
-  return view.ShareBasisPoints == FullShare &&
-         now >= ShareSince + Settings.FullShareTime &&
+  return view.ShareBasisPoints >= Settings.TopShare &&
+         now >= ShareSince + Settings.TopShareTime &&
          now >= view.OrderedAt + view.TimeAllowed - Settings.CompleteFrom;
 }
 
-// What the bound of the exposure leaves for the time before the full share.
+// What the bound of the exposure leaves for the time before the top share.
 std::uint32_t RolloutDriver::testShare(TimePoint now,
                                        const RolloutView &view) const {
   if (Budget.rate() <= 0) {
@@ -86,7 +86,7 @@
   }
   const auto deadline = view.OrderedAt + view.TimeAllowed;
   const auto part =
-      Budget.partUntil(deadline - Settings.FullFrom, deadline, now);
+      Budget.partUntil(deadline - Settings.TopFrom, deadline, now);
   return std::clamp(static_cast<std::uint32_t>(part * FullShare),
                     Settings.MinTestShare, Settings.MaxTestShare);
 }
@@ -94,12 +94,13 @@
 RolloutDecision RolloutDriver::nextShare(TimePoint now, const RolloutView &view,
                                          const std::string &evidence) const {
   const auto deadline = view.OrderedAt + view.TimeAllowed;
-  if (view.ShareBasisPoints == FullShare) {
+  if (view.ShareBasisPoints >= Settings.TopShare) {
     return {};
   }
-  if (now >= deadline - Settings.FullFrom) {
+  if (now >= deadline - Settings.TopFrom) {
     return NewCalls >= Settings.MinTestCalls && Budget.coversAll(deadline, now)
-               ? RolloutDecision{RolloutAction::SetShare, FullShare, evidence}
+               ? RolloutDecision{RolloutAction::SetShare, Settings.TopShare,
+                                 evidence}
                : RolloutDecision{};
   }
   const auto wanted = testShare(now, view);
@@ -132,7 +133,8 @@
 
 RolloutDecision RolloutDriver::tick(TimePoint now, const RolloutView &view) {
   // Evidence at a share under test holds for the others; the full load is new.
-  if ((view.ShareBasisPoints == FullShare) != (SeenShare == FullShare)) {
+  if ((view.ShareBasisPoints >= Settings.TopShare) !=
+      (SeenShare >= Settings.TopShare)) {
     Test.restart();
   }
   if (view.ShareBasisPoints != SeenShare || ShareSince == TimePoint{}) {
--- a/tests/unit/rollout_exposure_test.cpp
+++ b/tests/unit/rollout_exposure_test.cpp
@@ -46,6 +46,9 @@
   double FailurePart = 0;
   /** Change of the rate in the middle. */
   double Burst = 1;
+  /** Requests that full servers of the old version refused come beside the rate
+   * that was answered as soon as nearly all go to the new one. */
+  double Backlog = 1;
   std::uint64_t Seed = 0;
 };
 
@@ -126,7 +129,9 @@
 
   void arrive(std::int64_t ms) {
     const bool burst = ms > Plan.TimeMs / 3 && ms < Plan.TimeMs / 2;
-    const double mean = Plan.Rate * (burst ? Plan.Burst : 1) * StepMs / 1000.0;
+    const bool flood = Share > FullShare / 2;
+    const double mean = Plan.Rate * (burst ? Plan.Burst : 1) *
+                        (flood ? Plan.Backlog : 1) * StepMs / 1000.0;
     const int n = std::poisson_distribution<int>(mean)(Random);
     for (int i = 0; i < n; ++i) {
       Answer answer;
@@ -206,6 +211,7 @@
   out.TurnsBadMs = static_cast<std::int64_t>(pick(100)) * out.TimeMs / 100;
   out.FailurePart = 0.15 + 0.1 * static_cast<double>(pick(9));
   out.Burst = 0.5 + 0.25 * static_cast<double>(pick(6));
+  out.Backlog = 1 + 0.1 * static_cast<double>(pick(5));
   out.Seed = seed;
   return out;
 }
