Bound responses without end, and match answers on reused connections

Cause: each interim response (1xx) and each response to another request began the limits of head and body anew, so that only the deadline ended the call.

Unfinished responses are bounded together, 8 MB a client; the largest is given up first, so that small ones go on.

A response without the id of a request is taken only for the first request of a connection: on one in use again it may be the late second copy of an earlier answer.

--- a/include/chivefold/io/http.h
+++ b/include/chivefold/io/http.h
@@ -16,6 +16,14 @@
   static constexpr std::size_t MaxBodyBytes = 1U << 20U;
   static constexpr std::size_t MaxHeaderBytes = 16U << 10U;
   static constexpr unsigned MaxConnections = 1024;
+  /** What a response may have beside its body: heads, those of interim and
+   * foreign responses too, and the framing of chunks. */
+  static constexpr std::size_t MaxOverheadBytes = 256U << 10U;
+  /** Interim and foreign responses before the one that is awaited. */
+  static constexpr unsigned MaxSkippedResponses = 16;
+  /** Bytes of unfinished responses that a client holds at once; of further ones
+   * the largest is given up. */
+  static constexpr std::size_t MaxHeldBytes = 8U << 20U;
 };
 
 struct HttpHeader {
--- a/include/chivefold/io/http_client.h
+++ b/include/chivefold/io/http_client.h
@@ -32,9 +32,11 @@
   /** Takes a response without a length, which ends with its connection. */
   bool AcceptUnframed = false;
   /** Responses that it refuses belong to another request: they are dropped and
-   * the next one is awaited. Empty accepts any. */
-  std::function<bool(const HttpResponse &)> Accepts;
-  /** A response with a larger body fails with TooLarge. */
+   * the next one is awaited. @param isFirst whether the connection has carried
+   * no other request. Empty accepts any. */
+  std::function<bool(const HttpResponse &, bool isFirst)> Accepts;
+  /** A response with a larger body fails with TooLarge, and so does one whose
+   * bytes go on without end. */
   std::size_t MaxResponseBytes = HttpLimits::MaxBodyBytes;
 };
 
--- a/src/io/http_channel.cpp
+++ b/src/io/http_channel.cpp
@@ -109,6 +109,9 @@
   Output = std::move(bytes);
   Written = 0;
   Input.clear();
+  Received = 0;
+  Skipped = 0;
+  ++Exchanges;
   Head = call.Method == "HEAD";
   AcceptUnframed = call.AcceptUnframed;
   MaxResponseBytes = call.MaxResponseBytes;
@@ -183,7 +186,25 @@
     return Owner.onIdleClosed(*this);
   }
   Input.append(buf.data(), static_cast<std::size_t>(n));
+  Received += static_cast<std::size_t>(n);
+  if (Received > MaxResponseBytes + HttpLimits::MaxOverheadBytes) {
+    return giveUp();
+  }
   parse();
+  if (Busy) {
+    Owner.onHeld();
+  }
+}
+
+// Awaits the next response in place of this one. @return false if there were
+// too many.
+bool HttpChannel::skipResponse() {
+  if (++Skipped > HttpLimits::MaxSkippedResponses) {
+    giveUp();
+    return false;
+  }
+  resetParser();
+  return true;
 }
 
 void HttpChannel::parse() {
@@ -210,8 +231,7 @@
     return false;
   }
   if (Current->is_header_done() && Current->get().result_int() / 100 == 1) {
-    resetParser();
-    return true;
+    return skipResponse();
   }
   if (Current->is_done()) {
     succeed();
@@ -250,12 +270,13 @@
   const bool reusable =
       framed && Current->get().keep_alive() && Written == Output.size();
   auto response = takeResponse();
-  if (Accepts && !Accepts(response)) {
+  if (Accepts && !Accepts(response, Exchanges == 1)) {
     if (!reusable) {
       return fail(ErrorCode::ConnectionFailed,
                   "the response belongs to another request");
     }
-    return resetParser();
+    skipResponse();
+    return;
   }
   Busy = false;
   UsedAt = Loop.now();
--- a/src/io/http_channel.h
+++ b/src/io/http_channel.h
@@ -25,6 +25,8 @@
   virtual void onFinished(HttpChannel &channel, HttpOutcome outcome) = 0;
   /** The server closed an idle channel, or sent what nobody asked for. */
   virtual void onIdleClosed(HttpChannel &channel) = 0;
+  /** The channel holds more bytes; it may be given up. */
+  virtual void onHeld() = 0;
 };
 
 /** One request at a time over one connection. */
@@ -44,6 +46,10 @@
   /** @return whether a byte of the current request was handed over. */
   bool sentAny() const { return Written > 0; }
   const Address &server() const { return Server; }
+  /** @return bytes of the unfinished response. */
+  std::size_t held() const { return Busy ? Received : 0; }
+  /** Ends the exchange since the response is too large. */
+  void giveUp() { fail(ErrorCode::TooLarge, "the response goes on"); }
 
   /** Call that uses the channel, or None. */
   HttpCallId User = HttpCallId::None;
@@ -61,6 +67,7 @@
   void parse();
   bool parseOne();
   void resetParser();
+  bool skipResponse();
   void onEnd(bool reset);
   void succeed();
   void fail(ErrorCode code, std::string message);
@@ -81,7 +88,11 @@
   bool Head = false;
   bool AcceptUnframed = false;
   std::size_t MaxResponseBytes = 0;
-  std::function<bool(const HttpResponse &)> Accepts;
+  std::function<bool(const HttpResponse &, bool)> Accepts;
+  /** Bytes of this exchange, and responses that were not the awaited one. */
+  std::size_t Received = 0;
+  unsigned Skipped = 0;
+  unsigned Exchanges = 0;
   TimerId ConnectTimer = TimerId::None;
 };
 
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -95,6 +95,7 @@
   void sweep();
   void onFinished(HttpChannel &channel, HttpOutcome outcome) override;
   void onIdleClosed(HttpChannel &channel) override { drop(channel); }
+  void onHeld() override;
 
   Reactor &Loop;
   std::size_t MaxConnections;
@@ -200,6 +201,21 @@
                 [this, id, later] { finish(id, std::move(*later)); });
 }
 
+// One large response does not take the memory of all others.
+void HttpClient::Impl::onHeld() {
+  std::size_t held = 0;
+  std::shared_ptr<HttpChannel> largest;
+  for (const auto &it : Channels) {
+    held += it->held();
+    if (!largest || it->held() > largest->held()) {
+      largest = it;
+    }
+  }
+  if (held > HttpLimits::MaxHeldBytes) {
+    largest->giveUp();
+  }
+}
+
 void HttpClient::Impl::finish(std::uint64_t id, HttpOutcome outcome) {
   const auto it = Calls.find(id);
   if (it != Calls.end()) {
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -224,9 +224,12 @@
   if (!call.Message.Repeatable) {
     http.ReuseUsedSince = now - FreshFor;
   }
-  http.Accepts = [this, wanted = call.Message.RequestId](const auto &r) {
+  // An answer that names no request may be a late one to an earlier request of
+  // its connection.
+  http.Accepts = [this, wanted = call.Message.RequestId](const auto &r,
+                                                         bool isFirst) {
     const auto got = Ports.Requests.readServer(r).RequestId;
-    return got.empty() || wanted.empty() || got == wanted;
+    return wanted.empty() || got == wanted || (got.empty() && isFirst);
   };
   call.Http = Client.start(std::move(http), [this, id](HttpOutcome outcome) {
     onOutcome(id, std::move(outcome));
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -184,7 +184,7 @@
   ClientFixture f;
   auto call = f.call();
   call.AcceptUnframed = true;
-  call.Accepts = [](const HttpResponse &r) {
+  call.Accepts = [](const HttpResponse &r, bool /*isFirst*/) {
     return headerValue(r.Headers, "Id") != "other";
   };
   std::optional<HttpOutcome> out;
@@ -201,6 +201,91 @@
   CHECK(out->Response->Body == "whole");
 }
 
+// Guards against bytes without end, which hold a call until its deadline and
+// fill the memory: each interim or foreign response began its limits anew.
+TEST_CASE("a response without end is given up", "[http_client]") {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string filler(4000, 'x');
+  struct Flood {
+    const char *Name;
+    std::string Start;
+    std::string Repeated;
+  };
+  const std::vector<Flood> floods{
+      {"head", head, "A: " + filler + "\r\n"},
+      {"head without an end of line", head + "A: ", filler},
+      {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"interim responses with heads", "",
+       "HTTP/1.1 103 Early Hints\r\nA: " + filler + "\r\n\r\n"},
+      {"foreign responses", "",
+       head + "Id: other\r\nContent-Length: 4\r\n\r\nlate"},
+      {"chunks", head + "Transfer-Encoding: chunked\r\n\r\n",
+       "fa0\r\n" + filler + "\r\n"},
+      {"chunk extension", head + "Transfer-Encoding: chunked\r\n\r\n1;",
+       filler},
+      {"body up to the end of the connection", head + "\r\n", filler},
+      {"no response", "", filler}};
+  for (const auto &flood : floods) {
+    INFO(flood.Name);
+    ClientFixture f;
+    auto call = f.call();
+    call.AcceptUnframed = true;
+    call.Accepts = [](const HttpResponse &r, bool /*isFirst*/) {
+      return headerValue(r.Headers, "Id") != "other";
+    };
+    const auto deadline = call.Deadline;
+    std::size_t written = 0;
+    std::thread server([&] {
+      const auto s = f.Listener.accepted();
+      s.readUntil("work");
+      s.write(flood.Start);
+      while (s.tryWrite(flood.Repeated)) {
+        written += flood.Repeated.size();
+      }
+    });
+    const auto out = f.finish(std::move(call));
+    CHECK_FALSE(out.Response);
+    CHECK(out.MayHaveRun);
+    CHECK(out.Response.reason().Code != ErrorCode::DeadlineExceeded);
+    CHECK(f.Loop.now() < deadline);
+    f.Client.reset();
+    server.join();
+    // The rest lay in the buffers of the sockets.
+    CHECK(written < HttpLimits::MaxBodyBytes + (16U << 20U));
+  }
+}
+
+// Guards against many large responses at once that take more memory than the
+// process may have.
+TEST_CASE("unfinished responses are bounded together", "[http_client]") {
+  ClientFixture f;
+  constexpr std::size_t calls = 20;
+  constexpr std::size_t size = 900U << 10U;
+  f.Client->setMaxConnections(calls);
+  std::vector<RawSocket> open;
+  std::thread server([&] {
+    for (std::size_t i = 0; i < calls; ++i) {
+      open.push_back(f.Listener.accepted());
+    }
+    for (const auto &s : open) {
+      s.readUntil("work");
+      s.write("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" +
+              std::string(size, 'x'));
+    }
+  });
+  std::size_t givenUp = 0;
+  for (std::size_t i = 0; i < calls; ++i) {
+    f.Client->start(f.call(), [&](const HttpOutcome &o) {
+      CHECK(o.Response.reason().Code == ErrorCode::TooLarge);
+      ++givenUp;
+    });
+  }
+  constexpr std::size_t fit = HttpLimits::MaxHeldBytes / size;
+  CHECK(runUntil(f.Loop, [&] { return givenUp >= calls - fit - 1; }));
+  CHECK(givenUp < calls);
+  server.join();
+}
+
 // Guards against more connections to a backend server than it bears: idle ones
 // count too, also beside calls that need a fresh connection.
 TEST_CASE("idle connections count against the bound", "[http_client]") {
--- a/tests/unit/raw_socket.h
+++ b/tests/unit/raw_socket.h
@@ -56,15 +56,18 @@
     getsockname(Fd, reinterpret_cast<sockaddr *>(&name), &n);
     return {"127.0.0.1", ntohs(name.sin_port)};
   }
-  void write(std::string_view data) const {
+  /** @return false once the other end has closed. */
+  bool tryWrite(std::string_view data) const {
     while (!data.empty()) {
       const auto n = send(Fd, data.data(), data.size(), MSG_NOSIGNAL);
       if (n <= 0) {
-        return;
+        return false;
       }
       data.remove_prefix(static_cast<std::size_t>(n));
     }
+    return true;
   }
+  void write(std::string_view data) const { tryWrite(data); }
   /** Reads until @p text was seen or the peer closed the connection. */
   std::string readUntil(std::string_view text) const {
     std::string all;
