Compress orders on the way between daemons

A configuration has about 110 KB, four hosts fetch it from one, and the link of a small host has 10 Mbit/s: 0.4 s in which requests wait behind it.

Values above 1 KB are compressed by zlib at its fastest; a host passes on the bytes that it got. A damaged or too large one is refused and another host is asked. Ruled out: fetching from the store, a call for each host and version.

--- a/include/chivefold/sidecar/order_feed.h
+++ b/include/chivefold/sidecar/order_feed.h
@@ -16,6 +16,8 @@
 
 #include <deque>
 #include <functional>
+#include <map>
+#include <memory>
 #include <random>
 
 namespace chivefold {
@@ -60,6 +62,9 @@
   /** Records are fetched from another data centre only if no host of this one
    * had them for this time: a configuration can have 256 KB. */
   static constexpr Duration PreferNear = std::chrono::milliseconds(400);
+  /** Larger values are compressed for other hosts: a configuration that is
+   * fetched by four of them fills the link of a small host for 0.4 s. */
+  static constexpr std::size_t MaxPlainBytes = 1024;
   /** Hosts that can be asked for records, newest notice last. */
   static constexpr std::size_t MaxSources = 4;
 
@@ -77,8 +82,7 @@
   void onNotice(const wire::OrdersNoticeT &notice);
 
   /** Answers a peer that lacks records from @p after on. */
-  void onFetch(const wire::FetchOrdersT &fetch,
-               const PeerResponder &respond) const;
+  void onFetch(const wire::FetchOrdersT &fetch, const PeerResponder &respond);
 
   /** @return time since the store last confirmed, here or to a peer, that there
    * are no further records than those that are known here. */
@@ -101,6 +105,8 @@
   void fetchFromSource();
   void fetch(const Address &peer);
   void takeOrders(wire::OrdersT &orders);
+  Result<KeyedRecord> recordOf(wire::KeyedRecordT &from);
+  std::unique_ptr<wire::KeyedRecordT> toWire(const KeyedRecord &record);
   void tellOthers(std::size_t perOtherDataCentre);
 
   Reactor &Loop;
@@ -116,6 +122,13 @@
   TimePoint AnsweredAt{};
   /** When the store had no further records than are known here. */
   TimePoint ConfirmedAt{};
+  /** Values as they are sent to other hosts, by key; at most as many as there
+   * are records. */
+  struct Packed {
+    std::uint64_t Offset = 0;
+    std::vector<std::uint8_t> Bytes;
+  };
+  std::map<std::string, Packed> PackedValues;
   /** A host that knows more, and the place that it has reached. */
   struct Source {
     Address Peer;
--- a/src/sidecar/order_feed.cpp
+++ b/src/sidecar/order_feed.cpp
@@ -1,6 +1,7 @@
 #include "chivefold/sidecar/order_feed.h"
 
 #include "chivefold/daemon/wire_convert.h"
+#include "chivefold/sidecar/packed_text.h"
 
 #include <algorithm>
 
@@ -225,16 +226,37 @@
   }
 }
 
+Result<KeyedRecord> OrderFeed::recordOf(wire::KeyedRecordT &from) {
+  KeyedRecord record;
+  record.Key = from.key;
+  record.Offset = from.offset;
+  if (from.dropped) {
+    return record;
+  }
+  if (from.plain_size == 0) {
+    record.Value = std::string(from.value.begin(), from.value.end());
+    return record;
+  }
+  auto text = unpackText(from.value, from.plain_size);
+  if (!text) {
+    return text.reason();
+  }
+  record.Value = std::move(*text);
+  PackedValues[record.Key] = {record.Offset, std::move(from.value)};
+  return record;
+}
+
 void OrderFeed::takeOrders(wire::OrdersT &orders) {
   std::vector<KeyedRecord> records;
   for (const auto &it : orders.records) {
-    KeyedRecord record;
-    record.Key = it->key;
-    record.Offset = it->offset;
-    if (!it->dropped) {
-      record.Value = std::string(it->value.begin(), it->value.end());
+    auto record = recordOf(*it);
+    if (!record) {
+      // The place is not advanced, so that another host is asked.
+      Lines.warn("ignored the orders of a host",
+                 {{"reason", record.reason().Message}});
+      return;
     }
-    records.push_back(std::move(record));
+    records.push_back(std::move(*record));
   }
   const bool isNews = orders.end > State.end();
   State.advance(orders.end);
@@ -245,25 +267,40 @@
   }
 }
 
+std::unique_ptr<wire::KeyedRecordT>
+OrderFeed::toWire(const KeyedRecord &record) {
+  auto to = std::make_unique<wire::KeyedRecordT>();
+  to->key = record.Key;
+  to->offset = record.Offset;
+  to->dropped = !record.Value;
+  if (!record.Value) {
+    return to;
+  }
+  if (record.Value->size() <= MaxPlainBytes ||
+      record.Value->size() > MaxPackedTextBytes) {
+    to->value.assign(record.Value->begin(), record.Value->end());
+    return to;
+  }
+  auto &packed = PackedValues[record.Key];
+  if (packed.Bytes.empty() || packed.Offset != record.Offset) {
+    packed = {record.Offset, packText(*record.Value)};
+  }
+  to->value = packed.Bytes;
+  to->plain_size = static_cast<std::uint32_t>(record.Value->size());
+  return to;
+}
+
 void OrderFeed::onFetch(const wire::FetchOrdersT &fetch,
-                        const PeerResponder &respond) const {
+                        const PeerResponder &respond) {
   if (!respond) {
     return;
   }
   wire::OrdersT out;
   out.end = State.end();
   for (const auto &it : State.records()) {
-    if (it.Offset < fetch.after) {
-      continue;
-    }
-    auto record = std::make_unique<wire::KeyedRecordT>();
-    record->key = it.Key;
-    record->offset = it.Offset;
-    record->dropped = !it.Value;
-    if (it.Value) {
-      record->value.assign(it.Value->begin(), it.Value->end());
+    if (it.Offset >= fetch.after) {
+      out.records.push_back(toWire(it));
     }
-    out.records.push_back(std::move(record));
   }
   respond(frameBody(std::move(out)));
 }
--- /dev/null
+++ b/tests/unit/packed_text_test.cpp
@@ -0,0 +1,32 @@
+#include "chivefold/sidecar/packed_text.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace chivefold;
+
+// Guards against a configuration that is changed on its way between daemons.
+TEST_CASE("packed text comes back whole", "[packed]") {
+  CHECK(rc::check("any text", [](const std::string &text) {
+    const auto back = unpackText(packText(text), text.size());
+    RC_ASSERT(back.hasValue());
+    RC_ASSERT(*back == text);
+  }));
+}
+
+// Guards against a damaged or hostile record that ends the process, is taken in
+// part, or takes more memory than a record may have.
+TEST_CASE("damaged packed text is refused", "[packed]") {
+  const std::string text(5000, 'x');
+  auto packed = packText(text);
+  CHECK_FALSE(unpackText(packed, text.size() - 1));
+  CHECK_FALSE(unpackText(packed, text.size() + 1));
+  CHECK_FALSE(unpackText(packed, MaxPackedTextBytes + 1));
+  CHECK_FALSE(unpackText({}, text.size()));
+  packed.pop_back();
+  CHECK_FALSE(unpackText(packed, text.size()));
+  CHECK(rc::check("any bytes", [](const std::vector<std::uint8_t> &bytes) {
+    const auto out = unpackText(bytes, 64);
+    RC_ASSERT(!out || out->size() == 64U);
+  }));
+}
