--- a/include/chivefold/mesh/rollout_driver.h
+++ b/include/chivefold/mesh/rollout_driver.h
@@ -122,7 +122,7 @@
   /** Servers whose own evidence is kept. */
   static constexpr std::size_t MaxServers = 64;
 
-  explicit RolloutDriver(RolloutSettings settings);
+  explicit RolloutDriver(const RolloutSettings &settings);
 
   /** Call a few times a second. The decision is repeated until the view shows
    * its effect. */
--- a/include/chivefold/sidecar/rollout_service.h
+++ b/include/chivefold/sidecar/rollout_service.h
@@ -47,7 +47,7 @@
   static constexpr Duration MaxStorePause = std::chrono::seconds(1);
 
   RolloutService(Reactor &reactor, PeerNetwork &network,
-                 const RolloutParts &parts, RolloutSettings settings,
+                 const RolloutParts &parts, const RolloutSettings &settings,
                  Address self, std::function<void()> changed);
 
   /** Reads the progress from the store and starts driving. Precondition:
--- a/src/mesh/rollout_driver.cpp
+++ b/src/mesh/rollout_driver.cpp
@@ -56,9 +56,8 @@
   return out;
 }
 
-RolloutDriver::RolloutDriver(RolloutSettings settings)
-    : Settings(std::move(settings)), Budget(Settings.Exposure),
-      Test(Settings.Test) {}
+RolloutDriver::RolloutDriver(const RolloutSettings &settings)
+    : Settings(settings), Budget(Settings.Exposure), Test(Settings.Test) {}
 
 void RolloutDriver::noteCounts(TimePoint now, const RolloutView &view) {
   const auto sum = [](const std::vector<KindCounts> &counts) {
--- a/src/sidecar/rollout_service.cpp
+++ b/src/sidecar/rollout_service.cpp
@@ -43,11 +43,10 @@
 
 RolloutService::RolloutService(Reactor &reactor, PeerNetwork &network,
                                const RolloutParts &parts,
-                               RolloutSettings settings, Address self,
+                               const RolloutSettings &settings, Address self,
                                std::function<void()> changed)
-    : Loop(reactor), Network(network), Parts(parts),
-      Settings(std::move(settings)), Self(std::move(self)),
-      Changed(std::move(changed)) {}
+    : Loop(reactor), Network(network), Parts(parts), Settings(settings),
+      Self(std::move(self)), Changed(std::move(changed)) {}
 
 void RolloutService::start() {
   list();
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -31,9 +31,10 @@
   std::string out;
   for (const auto &it : network.traffic()) {
     const auto label = "{kind=\"" + std::string(it.Kind) + "\"} ";
-    out += "chivefold_peer_frames_sent" + label + std::to_string(it.Frames) +
-           "\nchivefold_peer_bytes_sent" + label + std::to_string(it.Bytes) +
-           "\n";
+    out.append("chivefold_peer_frames_sent").append(label);
+    out.append(std::to_string(it.Frames)).append("\n");
+    out.append("chivefold_peer_bytes_sent").append(label);
+    out.append(std::to_string(it.Bytes)).append("\n");
   }
   return out;
 }
--- a/tests/unit/announce_plan_test.cpp
+++ b/tests/unit/announce_plan_test.cpp
@@ -106,6 +106,7 @@
   }
   REQUIRE(firstRelays.size() == DataCentres - 1);
   std::vector<std::size_t> lost;
+  lost.reserve(firstRelays.size());
   for (const auto &it : firstRelays) {
     lost.push_back(it.second);
   }
