--- a/tests/unit/backend_service_test.cpp
+++ b/tests/unit/backend_service_test.cpp
@@ -217,6 +217,37 @@
   CHECK(f.Backend.gate().InFlight == 0);
 }
 
+// Guards against a second copy of an answer, late and without the name of its
+// request, that is taken for the answer to the next one on its connection.
+TEST_CASE("a late copy without a name reaches no other request", "[backend]") {
+  BackendFixture f;
+  f.configure();
+  REQUIRE(f.Backend.report(f.report("i", 1, 1)));
+  const auto answer = [](const std::string &id, const std::string &body) {
+    return "HTTP/1.1 500 Error\r\n" +
+           (id.empty() ? id : "Chivefold-Request-Id: " + id + "\r\n") +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  };
+  std::thread server([&] {
+    const auto s = f.Listener.accepted();
+    s.readUntil("\r\n\r\n");
+    s.write(answer("first", "first"));
+    s.readUntil("\r\n\r\n");
+    s.write(answer("", "copy") + answer("second", "second"));
+  });
+  for (const std::string id : {"first", "second"}) {
+    auto call = f.call();
+    call.RequestId = id;
+    call.Repeatable = true;
+    std::optional<CallResult> result;
+    f.Backend.run(std::move(call),
+                  [&](CallResult r) { result = std::move(r); });
+    REQUIRE(runUntil(f.Loop, [&] { return result.has_value(); }));
+    CHECK(result->Body == id);
+  }
+  server.join();
+}
+
 // Guards against a server that gets nothing until its next report since some of
 // its answers in a row were lost, though it lives.
 TEST_CASE("lost answers do not take a server out", "[backend]") {
