--- a/include/chivefold/sidecar/fleet_service.h
+++ b/include/chivefold/sidecar/fleet_service.h
@@ -92,6 +92,8 @@
   void pass(const Address &peer, wire::HelloT hello, HelloRoute route);
   void take(wire::HelloT &hello);
   void takeAnnouncement(wire::HelloT &hello);
+  void relay(const HostState &state, const wire::HelloT &hello);
+  void takeRelayed(const HostState &state);
   void noteNews(const HostState &state, bool isNew);
   void takeExtras(const Address &peer, wire::HelloT &hello);
   void takeAddresses(const wire::HelloT &hello);
--- a/src/sidecar/fleet_service.cpp
+++ b/src/sidecar/fleet_service.cpp
@@ -267,32 +267,43 @@
 }
 
 void FleetService::takeAnnouncement(wire::HelloT &hello) {
-  if (hello.route != static_cast<std::uint8_t>(HelloRoute::Relayed)) {
-    const auto state = stateOf(hello);
-    const auto *known = state ? Table.find(state->Peer) : nullptr;
-    const bool isNews = known == nullptr || !known->Heard ||
-                        known->State.BootId != hello.boot_id ||
-                        known->State.Sequence < hello.sequence;
-    // A copy of another relay may be here already; it was passed on then.
-    if (state && isNews &&
-        hello.route == static_cast<std::uint8_t>(HelloRoute::ToRelay)) {
-      for (const auto &it : Plan.relayTargets(state->Peer)) {
-        pass(it, hello, HelloRoute::Relayed);
-      }
-    }
-    return take(hello);
-  }
   const auto state = stateOf(hello);
   if (!state || state->Peer == Own) {
     return;
   }
-  const auto *known = Table.find(state->Peer);
+  const auto route = static_cast<HelloRoute>(hello.route);
+  if (route == HelloRoute::Relayed) {
+    return takeRelayed(*state);
+  }
+  if (route == HelloRoute::ToRelay) {
+    relay(*state, hello);
+  }
+  take(hello);
+}
+
+// Passes on what is new here; a copy that the other relay sent was passed on
+// by it.
+void FleetService::relay(const HostState &state, const wire::HelloT &hello) {
+  const auto *known = Table.find(state.Peer);
+  const bool isNews = known == nullptr || !known->Heard ||
+                      known->State.BootId != state.BootId ||
+                      known->State.Sequence < state.Sequence;
+  if (!isNews) {
+    return;
+  }
+  for (const auto &it : Plan.relayTargets(state.Peer)) {
+    pass(it, hello, HelloRoute::Relayed);
+  }
+}
+
+void FleetService::takeRelayed(const HostState &state) {
+  const auto *known = Table.find(state.Peer);
   const bool isNew = known == nullptr || !known->reachable();
-  switch (Table.updateFromOther(*state, Loop.now())) {
+  switch (Table.updateFromOther(state, Loop.now())) {
   case Hearsay::News:
-    return noteNews(*state, isNew);
+    return noteNews(state, isNew);
   case Hearsay::Unsure:
-    return greet(state->Peer);
+    return greet(state.Peer);
   case Hearsay::Old:
     return;
   }
