Count thin evidence on many servers together

But of its servers only a few had the four calls after which one counts, and those were sound, so that the evidence was taken for that of single servers: the version got the top share and was completed, and 16,744 requests reached it later than 5 s after its 50th bad answer.

A version is doubtful now, too, if what its servers show together beside the worst one is. A doubtful one gets no step, and is taken back at its deadline if not before: a version that is not completed by then misses its duty either way. The new test completes the version on the code before.

Ruled out: the overall evidence alone, which one failing server of two reaches ("one failing server is not a bad version").

--- a/include/chivefold/mesh/rollout_driver.h
+++ b/include/chivefold/mesh/rollout_driver.h
@@ -65,7 +65,8 @@
   /** Time before the deadline from which the rollout is completed; a write that
    * has to be repeated still is in time. */
   Duration CompleteFrom = std::chrono::milliseconds(800);
-  /** Evidence against the version (1 is bad) above which no step is taken. */
+  /** Evidence against the version (1 is bad) above which no step is taken, and
+   * with which it is taken back at its deadline. */
   double MaxSuspicion = 0.5;
   /** The same for one server, which has only a part of the evidence. */
   double MaxServerSuspicion = 0.2;
@@ -135,6 +136,8 @@
   RolloutDecision nextShare(TimePoint now, const RolloutView &view,
                             const std::string &evidence) const;
   bool isShared(const RolloutView &view) const;
+  double suspicionBesideWorst() const;
+  bool isDoubtful(double suspicion, const RolloutView &view) const;
 
   RolloutSettings Settings;
   ExposureBudget Budget;
--- a/src/mesh/rollout_driver.cpp
+++ b/src/mesh/rollout_driver.cpp
@@ -130,6 +130,26 @@
          showing == 0;
 }
 
+// At a small share each of many servers shows little: what they show together
+// counts, but for the one that may be failing by itself.
+double RolloutDriver::suspicionBesideWorst() const {
+  double sum = 0;
+  double worst = 0;
+  for (const auto &it : ServerTests) {
+    const double suspicion = std::max(0.0, it.second.assess().Suspicion);
+    sum += suspicion;
+    worst = std::max(worst, suspicion);
+  }
+  return sum - worst;
+}
+
+// Whether the evidence is against the version and not against one server.
+bool RolloutDriver::isDoubtful(double suspicion,
+                               const RolloutView &view) const {
+  return suspicion > Settings.MaxSuspicion &&
+         (isShared(view) || suspicionBesideWorst() > Settings.MaxSuspicion);
+}
+
 RolloutDecision RolloutDriver::tick(TimePoint now, const RolloutView &view) {
   // Evidence at a share under test holds for the others; the full load is new.
   if ((view.ShareBasisPoints >= Settings.TopShare) !=
@@ -149,12 +169,12 @@
     }
   }
   const auto assessment = Test.assess();
-  const bool shared = isShared(view);
-  if (assessment.Result == TestVerdict::Bad && shared) {
+  const bool doubtful = isDoubtful(assessment.Suspicion, view);
+  const bool isOver = now >= view.OrderedAt + view.TimeAllowed;
+  if (doubtful && (assessment.Result == TestVerdict::Bad || isOver)) {
     return {RolloutAction::RollBack, 0, assessment.Evidence};
   }
-  if (view.AbleServers == 0 ||
-      (shared && assessment.Suspicion > Settings.MaxSuspicion)) {
+  if (view.AbleServers == 0 || doubtful) {
     return {};
   }
   if (mayComplete(now, view)) {
--- a/tests/unit/mesh_state_test.cpp
+++ b/tests/unit/mesh_state_test.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <catch2/catch.hpp>
+#include <deque>
 
 using namespace chivefold;
 
@@ -266,6 +267,56 @@
   }
 }
 
+// Guards against a bad version that is completed because its few requests went
+// to many servers, none of which showed enough by itself.
+TEST_CASE("failures on many servers count together", "[mesh]") {
+  constexpr std::size_t servers = 24;
+  RolloutDriver driver(quickRolloutSettings());
+  RolloutView view;
+  view.OrderedAt = at(0);
+  view.TimeAllowed = std::chrono::seconds(14);
+  view.AbleServers = servers;
+  KindCounts oldCounts;
+  std::array<KindCounts, servers> newCounts;
+  double arrived = 0;
+  std::uint64_t sent = 0;
+  // Answers are counted three ticks after a share was decided.
+  std::deque<std::uint32_t> shares(3, 0);
+  RolloutAction end = RolloutAction::None;
+  for (std::int64_t ms = 0; ms < 16'000 && end == RolloutAction::None;
+       ms += 200) {
+    shares.push_back(view.ShareBasisPoints);
+    arrived += 100.0 * shares.front() / FullShare;
+    shares.pop_front();
+    for (; sent < static_cast<std::uint64_t>(arrived); ++sent) {
+      // Four servers get a half of the requests, and none that fails.
+      auto &counts = newCounts[sent % 2 == 0 ? sent / 2 % 4
+                                             : 4 + sent / 2 % (servers - 4)];
+      ++counts.Calls;
+      // One in twelve fails.
+      counts.Errors += sent % 12 == 11 ? 1 : 0;
+    }
+    oldCounts.Calls += 100;
+    oldCounts.Errors += 1;
+    KindCounts sum;
+    for (std::size_t i = 0; i < servers; ++i) {
+      sum.Calls += newCounts[i].Calls;
+      sum.Errors += newCounts[i].Errors;
+      view.NewByHost[{"10.0.0.1", static_cast<std::uint16_t>(i + 1)}] = {
+          newCounts[i]};
+    }
+    view.OldCounts = {oldCounts};
+    view.NewCounts = {sum};
+    const auto decision = driver.tick(at(ms), view);
+    if (decision.Action == RolloutAction::SetShare) {
+      view.ShareBasisPoints = decision.ShareBasisPoints;
+    } else {
+      end = decision.Action;
+    }
+  }
+  CHECK(end == RolloutAction::RollBack);
+}
+
 // Guards against a part of a split route that gets another share than its
 // weight, over ten requests as over many.
 TEST_CASE("a split keeps to its weights", "[mesh]") {
