Hold a version with less evidence against it

A completed bad version breaks the rule, one that is held misses a duty.

The bound of doubt is 0.3 of the evidence that calls a version bad, 0.5 before.

--- a/include/chivefold/mesh/rollout_driver.h
+++ b/include/chivefold/mesh/rollout_driver.h
@@ -67,7 +67,7 @@
   Duration CompleteFrom = std::chrono::milliseconds(600);
   /** Evidence against the version (1 is bad) above which no step is taken, and
    * with which it is taken back at its deadline. */
-  double MaxSuspicion = 0.5;
+  double MaxSuspicion = 0.3;
   /** The same for one server, which has only a part of the evidence. */
   double MaxServerSuspicion = 0.2;
   /** Part of the servers of which more must be suspicious before the version
