Build what a greeting carries once

Behaviour is unchanged. A greeting asked for the extras of the other services twice, once only for the deaths, and an announcement built these to leave them out by another way.

--- a/include/chivefold/sidecar/fleet_service.h
+++ b/include/chivefold/sidecar/fleet_service.h
@@ -88,7 +88,6 @@
   void greet(const Address &peer);
   wire::HelloT hello() const;
   void addAddresses(wire::HelloT &hello) const;
-  void addDeaths(wire::HelloT &hello) const;
   void pass(const Address &peer, wire::HelloT hello, HelloRoute route);
   void take(wire::HelloT &hello);
   void takeAnnouncement(wire::HelloT &hello);
--- a/src/sidecar/fleet_service.cpp
+++ b/src/sidecar/fleet_service.cpp
@@ -148,7 +148,9 @@
 
 void FleetService::announce() {
   Table.update(Self(), Loop.now());
-  const auto news = hello();
+  auto news = hello();
+  // Deaths spread by themselves; greetings repeat them.
+  news.deaths.clear();
   for (const auto &it : Plan.targets()) {
     pass(it.Peer, news, it.Relays ? HelloRoute::ToRelay : HelloRoute::Direct);
   }
@@ -165,7 +167,6 @@
     return;
   }
   auto greeting = hello();
-  addDeaths(greeting);
   if (AddressesDiffer && Loop.now() >= NextAddresses && Plan.isNear(peer)) {
     greeting.wants_addresses = true;
     NextAddresses = Loop.now() + AddressPause;
@@ -192,7 +193,7 @@
 
 wire::HelloT FleetService::hello() const {
   const auto self = Self();
-  const auto extras = OwnExtras();
+  auto extras = OwnExtras();
   wire::HelloT out;
   out.address = addressToWire(self.Peer);
   out.data_centre = self.DataCentre;
@@ -204,6 +205,7 @@
   out.address_digest = Table.addressDigest();
   out.operator_end = extras.OperatorEnd;
   out.rollout_digest = extras.RolloutDigest;
+  out.deaths = std::move(extras.Deaths);
   out.unconfirmed_ms = static_cast<std::uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(extras.Unconfirmed)
           .count());
@@ -216,10 +218,6 @@
   }
 }
 
-void FleetService::addDeaths(wire::HelloT &hello) const {
-  hello.deaths = OwnExtras().Deaths;
-}
-
 void FleetService::takeAddresses(const wire::HelloT &hello) {
   for (const auto &it : hello.addresses) {
     const auto peer = fromWire(it.get());
@@ -316,7 +314,6 @@
   }
   take(request);
   auto answer = hello();
-  addDeaths(answer);
   if (request.wants_addresses &&
       request.address_digest != answer.address_digest) {
     addAddresses(answer);
