Give the test listener a backlog for all connections of a test

The test "unfinished responses are bounded together" opens 20 connections to a listener with a backlog of 16, and then hung in accept() once a connection had been refused. The listener is also shut down before the server thread is joined, so that a failure ends the test.

--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -283,6 +283,8 @@
   constexpr std::size_t fit = HttpLimits::MaxHeldBytes / size;
   CHECK(runUntil(f.Loop, [&] { return givenUp >= calls - fit - 1; }));
   CHECK(givenUp < calls);
+  // After a failure the server may still wait for a connection.
+  f.Listener.shutDown();
   server.join();
 }
 
--- a/tests/unit/raw_socket.h
+++ b/tests/unit/raw_socket.h
@@ -23,6 +23,9 @@
 /** A descriptor that is closed at the end. */
 class RawSocket {
 public:
+  /** More than the connections that a test opens before it accepts them. */
+  static constexpr int Backlog = 64;
+
   explicit RawSocket(int fd) : Fd(fd) {}
   RawSocket(RawSocket &&o) noexcept : Fd(o.Fd) { o.Fd = -1; }
   ~RawSocket() { reset(); }
@@ -44,7 +47,7 @@
     const auto name = nameOf(0);
     if (bind(s.Fd, reinterpret_cast<const sockaddr *>(&name), sizeof(name)) !=
             0 ||
-        listen(s.Fd, 16) != 0) {
+        listen(s.Fd, Backlog) != 0) {
       throw std::runtime_error("listen failed");
     }
     return s;
