Log the request limit of a backend server and what it is sent

The statements of an answer are now read in platform/ and kept for the current start of the server (ServerStatements); changes of the limit are logged with the request whose answer stated it and the rate at that time, and the metrics have gauges for the limit and the rate. Decisions are the same. Call counts move out of BackendService into CallCounts, unchanged.

--- a/include/chivefold/core/gate.h
+++ b/include/chivefold/core/gate.h
@@ -22,6 +22,28 @@
 /** Identifies a request at one gate; chosen by the caller, unique in flight. */
 enum class GateRequestId : std::uint64_t { None = 0 };
 
+/** Whether a daemon knows the request limit of a backend server. */
+enum class LimitKnowledge : std::uint8_t {
+  /** No answer of the server has arrived since the daemon or it started. */
+  Unknown,
+  /** The server states no limit. */
+  None,
+  Stated
+};
+
+/** Request limit that a backend server states, as known to a daemon. */
+struct RequestLimit {
+  LimitKnowledge Known = LimitKnowledge::Unknown;
+  /** Requests per second that the server accepts from all hosts together; used
+   * if Stated. */
+  double PerSecond = 0;
+  /** Identifies the start of the server to which the limit belongs; 0 if there
+   * is no server. */
+  std::uint64_t ServerStart = 0;
+  /** Time of the newest answer that stated the limit. */
+  TimePoint StatedAt{};
+};
+
 /** State of a gate; part of each of its answers. */
 struct GateState {
   /** Maximum number of requests in flight at the server; 0 if not known. */
@@ -31,6 +53,8 @@
   /** The limit is below the configured number of slots. */
   bool Cold = false;
   bool Leaving = false;
+  /** Request limit that the server states. */
+  RequestLimit StatedLimit{};
 };
 
 struct GateRequest {
--- a/include/chivefold/core/rate_limit.h
+++ b/include/chivefold/core/rate_limit.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * Rate limiter.
+ * Limits and measures rates.
  */
 #ifndef CHIVEFOLD_CORE_RATE_LIMIT_H
 #define CHIVEFOLD_CORE_RATE_LIMIT_H
@@ -31,6 +31,23 @@
   TimePoint RefilledAt;
 };
 
+/** Measures the rate of an operation as an exponential moving average. Not
+ * thread-safe. */
+class RateMeter {
+public:
+  /** Records one operation. */
+  void record(TimePoint now);
+
+  /** @return operations per second over about the last TimeConstant. */
+  double perSecond(TimePoint now) const;
+
+  static constexpr Duration TimeConstant = std::chrono::seconds(2);
+
+private:
+  double PerSecond = 0;
+  TimePoint UpdatedAt{};
+};
+
 } // namespace chivefold
 
 #endif
--- a/include/chivefold/io/logging.h
+++ b/include/chivefold/io/logging.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <type_traits>
 
 namespace chivefold {
 
@@ -35,8 +36,11 @@
 struct LogField {
   LogField(std::string_view key, std::string_view value)
       : Key(key), Value(value) {}
-  LogField(std::string_view key, std::uint64_t value)
+  template <class T, std::enable_if_t<std::is_integral_v<T>, int> = 0>
+  LogField(std::string_view key, T value)
       : Key(key), Value(std::to_string(value)) {}
+  /** Writes @p value with four significant digits. */
+  LogField(std::string_view key, double value);
 
   std::string_view Key;
   std::string Value;
--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -5,18 +5,19 @@
 #ifndef CHIVEFOLD_SIDECAR_BACKEND_SERVICE_H
 #define CHIVEFOLD_SIDECAR_BACKEND_SERVICE_H
 
-#include "chivefold/core/sequential_test.h"
+#include "chivefold/core/rate_limit.h"
 #include "chivefold/daemon/call_message.h"
 #include "chivefold/daemon/poison_service.h"
 #include "chivefold/io/http_client.h"
 #include "chivefold/io/logging.h"
+#include "chivefold/mesh/call_counts.h"
 #include "chivefold/mesh/refused_calls.h"
+#include "chivefold/mesh/server_statements.h"
 #include "chivefold/mesh/slot_gate.h"
 #include "chivefold/sidecar/ports.h"
 
 #include <deque>
 #include <functional>
-#include <map>
 #include <string>
 #include <unordered_map>
 
@@ -33,6 +34,17 @@
   PoisonService &Poison;
 };
 
+/** Request limit of the backend server, for metrics. */
+struct LimitFigures {
+  /** Requests per second that the server accepts; nothing if it states no
+   * limit. */
+  std::optional<double> Limit;
+  /** Requests per second that were recently sent to the server. */
+  double SentPerSecond = 0;
+  /** Answers with a malformed limit. */
+  std::uint64_t Malformed = 0;
+};
+
 /** Location of the backend server and of its host. */
 struct BackendLocation {
   Address Server;
@@ -117,13 +129,15 @@
   RefusedCallTracker &refusedCalls() { return Refused; }
 
   const BackendServerState &server() const { return Server; }
-  GateState gate() const { return Gate.state(Loop.now()); }
+  /** @return the state of the gate and the server's request limit. */
+  GateState gate() const;
+  LimitFigures limitFigures() const;
   std::size_t openCalls() const { return Calls.size(); }
 
   /** @return call counts by route for the server's current version. */
-  std::vector<KindCounts> counts() const;
+  std::vector<KindCounts> counts() const { return Counts.all(); }
   /** @return the version that counts() refers to. */
-  const std::string &countedVersion() const { return CountedVersion; }
+  const std::string &countedVersion() const { return Counts.version(); }
 
 private:
   struct Call {
@@ -134,6 +148,8 @@
     TimePoint StartedAt{};
     RequestDigest Digest = RequestDigest::None;
     bool WasCold = false;
+    /** Start of the server to which the request was sent. */
+    std::uint64_t ServerStart = 0;
   };
 
   ErrorCode reasonToRefuse(const CallMessage &call) const;
@@ -141,6 +157,7 @@
   void send(BackendCallId id);
   void onOutcome(BackendCallId id, HttpOutcome outcome);
   CallResult resultOf(const Call &call, HttpOutcome &outcome);
+  void applyStatement(const Call &call, const HttpResponse &response);
   void finish(BackendCallId id, CallResult result,
               std::optional<Duration> latency);
   void drop(const std::vector<GateRequestId> &ids, ErrorCode code);
@@ -200,8 +217,10 @@
   /** Requests whose connections broke since the server last answered. */
   std::vector<RequestDigest> Interrupted;
   TimePoint InterruptedAt{};
-  std::map<std::string, KindCounts> Counts;
-  std::string CountedVersion;
+  CallCounts Counts;
+  ServerStatements Statements;
+  RateMeter Sent;
+  std::uint64_t MalformedLimits = 0;
   Logger Lines{"backend"};
 };
 
--- a/include/chivefold/sidecar/ports.h
+++ b/include/chivefold/sidecar/ports.h
@@ -9,6 +9,7 @@
 #include "chivefold/io/http.h"
 #include "chivefold/mesh/fleet_table.h"
 #include "chivefold/mesh/operator_state.h"
+#include "chivefold/mesh/server_statements.h"
 #include "chivefold/mesh/version_policy.h"
 
 #include <cstdint>
@@ -49,6 +50,8 @@
   /** The response carries the server's signature, so the server itself made it.
    */
   bool Authentic = false;
+  /** What the server states about itself. */
+  ServerStatement Statement;
 };
 
 /** Reads and writes the headers of clients and backend servers. Thread-safe. */
--- a/src/core/rate_limit.cpp
+++ b/src/core/rate_limit.cpp
@@ -1,6 +1,7 @@
 #include "chivefold/core/rate_limit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace chivefold {
 
@@ -22,4 +23,16 @@
   Tokens = std::min(Burst, Tokens + tokens);
 }
 
+void RateMeter::record(TimePoint now) {
+  PerSecond =
+      perSecond(now) + 1 / std::chrono::duration<double>(TimeConstant).count();
+  UpdatedAt = std::max(UpdatedAt, now);
+}
+
+double RateMeter::perSecond(TimePoint now) const {
+  const auto passed = std::max(now - UpdatedAt, Duration::zero());
+  return PerSecond * std::exp(-static_cast<double>(passed.count()) /
+                              static_cast<double>(TimeConstant.count()));
+}
+
 } // namespace chivefold
--- a/src/io/logging.cpp
+++ b/src/io/logging.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cstdio>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
@@ -75,6 +76,12 @@
 
 } // namespace
 
+LogField::LogField(std::string_view key, double value) : Key(key) {
+  std::array<char, 32> buf{};
+  std::snprintf(buf.data(), buf.size(), "%.4g", value);
+  Value = buf.data();
+}
+
 std::string_view logLevelName(LogLevel level) {
   return LevelNames[static_cast<std::size_t>(level)];
 }
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -8,15 +8,9 @@
 
 namespace {
 
-/** Maximum number of routes with call counts; further routes are not counted.
- */
-constexpr std::size_t MaxCountedRoutes = 256;
 /** Time after the deadline during which the server's answer is still accepted.
  */
 constexpr Duration AnswerGrace = std::chrono::milliseconds(20);
-/** A cold server is slower by about this factor. Latencies are divided by it so
- * that warm-up does not count against the version. */
-constexpr std::uint64_t ColdSlowdown = 2;
 
 bool isSuccess(int status) { return status >= 200 && status < 300; }
 
@@ -108,12 +102,11 @@
   Interrupted.clear();
   endCurrentInstance();
   StartedAtMs = report.StartedAtMs;
+  Statements.reset(hash64(report.State.Instance + "/" +
+                          std::to_string(StartedAtMs.value_or(0))));
   Upstream = report.Server;
   Client.closeIdle();
-  if (report.State.Version != CountedVersion) {
-    Counts.clear();
-    CountedVersion = report.State.Version;
-  }
+  Counts.setVersion(report.State.Version);
 }
 
 void BackendService::endCurrentInstance() {
@@ -219,6 +212,8 @@
   const auto now = Loop.now();
   call.StartedAt = now;
   call.WasCold = Gate.state(now).Cold;
+  call.ServerStart = Statements.limit().ServerStart;
+  Sent.record(now);
   HttpCall http;
   http.Method = call.Message.Method;
   http.Url = "http://" + toString(Upstream) + call.Message.Target;
@@ -243,6 +238,49 @@
   });
 }
 
+GateState BackendService::gate() const {
+  auto out = Gate.state(Loop.now());
+  out.StatedLimit = Statements.limit();
+  return out;
+}
+
+LimitFigures BackendService::limitFigures() const {
+  LimitFigures out;
+  const auto &limit = Statements.limit();
+  if (limit.Known == LimitKnowledge::Stated) {
+    out.Limit = limit.PerSecond;
+  }
+  out.SentPerSecond = Sent.perSecond(Loop.now());
+  out.Malformed = MalformedLimits;
+  return out;
+}
+
+// An answer of another instance at the address states nothing about this
+// server, and neither does a success that the server did not sign.
+void BackendService::applyStatement(const Call &call,
+                                    const HttpResponse &response) {
+  const auto facts = Ports.Requests.readServer(response);
+  if (facts.OtherInstance || (isSuccess(response.Status) && !facts.Authentic)) {
+    return;
+  }
+  const bool ran = !facts.NotRun && facts.Authentic;
+  const auto before = Statements.limit().PerSecond;
+  const auto change =
+      Statements.onAnswer(facts.Statement, call.ServerStart, ran, Loop.now());
+  MalformedLimits += change == LimitChange::Malformed ? 1 : 0;
+  if (change != LimitChange::None) {
+    Lines.info("request limit of the backend server",
+               {{"change", limitChangeName(change)},
+                {"request", call.Message.RequestId},
+                {"instance", Server.Instance},
+                {"per_second", Statements.limit().PerSecond},
+                {"before", before},
+                {"sent_per_second", Sent.perSecond(Loop.now())},
+                {"running", std::uint64_t{Gate.state(Loop.now()).InFlight}},
+                {"queued", std::uint64_t{Gate.state(Loop.now()).Queued}}});
+  }
+}
+
 CallResult BackendService::resultOf(const Call &call, HttpOutcome &outcome) {
   if (!outcome.Response) {
     const auto code = outcome.Response.reason().Code;
@@ -281,6 +319,9 @@
       !outcome.Response && !outcome.MayHaveRun &&
       outcome.Response.reason().Code == ErrorCode::ConnectionFailed;
   const bool silent = !outcome.Response && outcome.MayHaveRun;
+  if (outcome.Response) {
+    applyStatement(it->second, *outcome.Response);
+  }
   auto result = resultOf(it->second, outcome);
   result.CallRefused = result.Result == Outcome::Answered &&
                        result.Status >= MinServerErrorStatus &&
@@ -345,31 +386,11 @@
 
 void BackendService::count(const Call &call, const CallResult &result,
                            Duration latency) {
-  const bool ran = result.Result != Outcome::NotRun;
-  if (!ran || (Counts.size() >= MaxCountedRoutes &&
-               Counts.count(call.Message.Route) == 0)) {
-    return;
+  if (result.Result != Outcome::NotRun) {
+    const bool failed = result.Result == Outcome::Unknown ||
+                        result.Status >= MinServerErrorStatus;
+    Counts.record({call.Message.Route, failed, call.WasCold, latency});
   }
-  auto &counts = Counts[call.Message.Route];
-  counts.PathPrefix = call.Message.Route;
-  ++counts.Calls;
-  const bool failed = result.Result == Outcome::Unknown ||
-                      result.Status >= MinServerErrorStatus;
-  counts.Errors += failed ? 1 : 0;
-  const auto us = static_cast<std::uint64_t>(latency.count()) /
-                  (call.WasCold ? ColdSlowdown : 1);
-  counts.LatencySumUs += us;
-  const double ms = static_cast<double>(us) / 1000;
-  counts.LatencySquareSumMs2 += ms * ms;
-}
-
-std::vector<KindCounts> BackendService::counts() const {
-  std::vector<KindCounts> out;
-  out.reserve(Counts.size());
-  for (const auto &it : Counts) {
-    out.push_back(it.second);
-  }
-  return out;
 }
 
 void BackendService::finish(BackendCallId id, CallResult result,
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -40,6 +40,22 @@
   return out;
 }
 
+// Request limit of the backend server in the Prometheus text format.
+std::string limitMetrics(const LimitFigures &figures) {
+  std::string out;
+  const auto add = [&out](std::string_view name, const std::string &value) {
+    out.append(name).append(" ").append(value).append("\n");
+  };
+  if (figures.Limit) {
+    add("chivefold_server_limit_per_second", std::to_string(*figures.Limit));
+  }
+  add("chivefold_server_sent_per_second",
+      std::to_string(figures.SentPerSecond));
+  add("chivefold_server_limit_malformed_total",
+      std::to_string(figures.Malformed));
+  return out;
+}
+
 } // namespace
 
 struct Sidecar::Impl {
@@ -250,7 +266,8 @@
     return exchange->respond({200,
                               {{"Content-Type", "text/plain"}},
                               toPrometheus(CallMetrics.report(Loop.now())) +
-                                  trafficMetrics(Network)});
+                                  trafficMetrics(Network) +
+                                  limitMetrics(Backend.limitFigures())});
   }
   if (request.Path == "/-/ready") {
     return exchange->respond({isReady() ? 200 : 503, {}, ""});
