--- a/tests/unit/backend_service_test.cpp
+++ b/tests/unit/backend_service_test.cpp
@@ -1,68 +1,10 @@
-#include "chivefold/sidecar/backend_service.h"
-
-#include "raw_socket.h"
-#include "record_codec.h"
-#include "request_headers.h"
+#include "backend_fixture.h"
 
 #include <catch2/catch.hpp>
 #include <thread>
 
 using namespace chivefold;
 
-namespace {
-
-struct BackendFixture {
-  platform::RequestHeaders Requests;
-  platform::ServerReports Reports;
-  platform::OperatorRecords Records;
-  platform::RolloutStatuses Statuses;
-  const PlatformPorts Ports{Requests, Reports, Records, Statuses};
-  Reactor Loop;
-  HttpClient Client{Loop, 4};
-  OperatorState Orders{Records};
-  VersionPolicy Versions{Orders};
-  RawSocket Listener = RawSocket::listening();
-  PeerNetwork Network{Loop, {"127.0.0.1", 0}, [](auto &&...) {}};
-  PoisonService Poison{Loop, Network,
-                       [](std::size_t) { return std::vector<Address>(); }, 1};
-  BackendService Backend{Loop,
-                         Client,
-                         {Ports, Orders, Versions, Poison},
-                         {Listener.address(), {"10.0.0.1", 1}, "z"},
-                         [] {}};
-
-  ServerReport report(const std::string &instance, std::int64_t startedAt,
-                      std::uint64_t sequence,
-                      ServerPhase phase = ServerPhase::Ready) const {
-    ServerReport out;
-    out.Server = Listener.address();
-    out.State = {instance, "s", "v1", 4, phase};
-    out.StartedAtMs = startedAt;
-    out.Sequence = sequence;
-    return out;
-  }
-
-  void configure() {
-    Orders.apply({"config",
-                  R"({"version":"r1","routes":[],"services":[{"name":"s",
-                      "maxConnections":100,"warmupRpsS":2}]})",
-                  0});
-    Backend.ordersChanged();
-  }
-
-  CallMessage call() const {
-    CallMessage out;
-    out.Service = "s";
-    out.Method = "POST";
-    out.Target = "/x";
-    out.RequestId = "q";
-    out.Deadline = Loop.now() + std::chrono::seconds(10);
-    return out;
-  }
-};
-
-} // namespace
-
 // Guards against sending full load to a cold server whose report arrived before
 // the configuration, which states the rate for cold servers.
 TEST_CASE("a cold start before the configuration counts", "[backend]") {
