Apply the request limit of a backend server at its gate

Cause: the limit was never read.

The gate now spaces starts evenly at the stated rate (GCRA), with a quarter of a second of burst. It is one point, so that the sum over all hosts, first attempts, retries, calls and the queue are bounded alike, and it starts a limit with one request, not with a full bucket. Requests that the rate cannot start before their deadline are rejected on arrival, or as soon as that is known in the queue, with the time that the rate needs and the error rate-limited. The queue bound follows the slots that the rate can keep busy.

--- a/include/chivefold/core/error.h
+++ b/include/chivefold/core/error.h
@@ -33,6 +33,8 @@
   Quarantined,
   /** A backend server stated that it did not execute a request. */
   Declined,
+  /** A backend server's stated request limit leaves no room. */
+  RateLimited,
 };
 
 /** @return the lower-case name of @p ec for logs and output. Names do not
--- a/include/chivefold/core/gate.h
+++ b/include/chivefold/core/gate.h
@@ -55,6 +55,8 @@
   bool Leaving = false;
   /** Request limit that the server states. */
   RequestLimit StatedLimit{};
+  /** Time until that limit lets a new request start. */
+  Duration LimitWait{};
 };
 
 struct GateRequest {
--- a/include/chivefold/mesh/slot_gate.h
+++ b/include/chivefold/mesh/slot_gate.h
@@ -7,6 +7,7 @@
 
 #include "chivefold/core/gate.h"
 #include "chivefold/core/types.h"
+#include "chivefold/mesh/request_pacer.h"
 
 #include <cstdint>
 #include <deque>
@@ -35,12 +36,20 @@
 /** Decision on a new request. A rejected request was certainly not run. */
 struct SlotAdmission {
   AdmissionKind Kind = AdmissionKind::Run;
-  /** Set if rejected: NotReady or Overloaded. */
+  /** Set if rejected: NotReady, Overloaded or RateLimited. */
   ErrorCode Code = ErrorCode::Ok;
   /** Set if rejected: time until the caller may try this server again. */
   Duration RetryAfter{};
 };
 
+/** Requests that the stated limit of a server affected. */
+struct LimitEffects {
+  /** Requests that were queued until the limit let them start. */
+  std::uint64_t Held = 0;
+  /** Requests that were rejected because of the limit. */
+  std::uint64_t Rejected = 0;
+};
+
 /** Constants of a slot gate. */
 struct SlotGateTuning {
   /** Fraction of a cold server's stated rate that is used. The rest covers
@@ -71,12 +80,12 @@
 };
 
 /**
- * Limits a server's concurrency to its slots and the request rate of a cold
- * server to its stated rate. Queued requests that can still meet their target
- * latency run before those that will be late; each of the two groups runs in
- * order of priority, then of arrival. A request that cannot end before its
- * deadline is rejected, on arrival or as soon as that becomes clear in the
- * queue.
+ * Limits a server's concurrency to its slots, its request rate to the limit
+ * that it states, and that of a cold server to its stated rate. Queued requests
+ * that can still meet their target latency run before those that will be late;
+ * each of the two groups runs in order of priority, then of arrival. A request
+ * that cannot end before its deadline is rejected, on arrival or as soon as
+ * that becomes clear in the queue.
  *
  * The gate protects servers that never answer requests which they cannot queue
  * from bursts. The order of its queue is for lasting overload, in which serving
@@ -104,6 +113,10 @@
    * limit. */
   void setCold(double rate, TimePoint until);
 
+  /** Limits starts to the request limit that the server states; nothing means
+   * no limit. Queued requests keep their places. */
+  void setRequestLimit(std::optional<double> perSecond, TimePoint now);
+
   /** Runs, queues or rejects a new request. */
   SlotAdmission admit(const SlotRequest &request, TimePoint now);
 
@@ -132,6 +145,7 @@
   std::optional<TimePoint> nextWakeUp(TimePoint now) const;
 
   GateState state(TimePoint now) const;
+  const LimitEffects &limitEffects() const { return Effects; }
 
   /** @return expected service time of a route. */
   Duration expectedServiceTime(const std::string &route) const;
@@ -173,12 +187,20 @@
   std::size_t maxColdStarts() const;
   void dropOldStarts(TimePoint now);
   void markRunning(GateRequestId id, const std::string &route, TimePoint now);
+  Duration slotWait(std::size_t queuedAhead, TimePoint now) const;
   Duration expectedWait(std::size_t queuedAhead, TimePoint now) const;
+  bool isHeldByLimit(std::size_t queuedAhead, TimePoint now) const;
+  double usableSlots() const;
+  bool cannotFinish(const Key &key, const QueuedRequest &request,
+                    TimePoint now);
   SlotAdmission refuse(ErrorCode code, Duration wait) const;
+  SlotAdmission refuseByLimit(Duration wait);
 
   SlotGateTuning Tuning;
   bool Open = false;
   std::uint32_t Limit = 0;
+  RequestPacer Pacer;
+  LimitEffects Effects;
   /** Starts per second of a cold server; 0 means no limit. */
   double ColdRate = 0;
   TimePoint ColdUntil{};
--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -43,6 +43,7 @@
   double SentPerSecond = 0;
   /** Answers with a malformed limit. */
   std::uint64_t Malformed = 0;
+  LimitEffects Effects;
 };
 
 /** Location of the backend server and of its host. */
@@ -157,6 +158,7 @@
   void send(BackendCallId id);
   void onOutcome(BackendCallId id, HttpOutcome outcome);
   CallResult resultOf(const Call &call, HttpOutcome &outcome);
+  void applyRequestLimit();
   void applyStatement(const Call &call, const HttpResponse &response);
   void finish(BackendCallId id, CallResult result,
               std::optional<Duration> latency);
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -5,7 +5,7 @@
 namespace chivefold {
 namespace {
 
-constexpr EnumNames<ErrorCode, 17> ErrorNames{{{
+constexpr EnumNames<ErrorCode, 18> ErrorNames{{{
     {ErrorCode::Ok, "ok"},
     {ErrorCode::InvalidArgument, "invalid-argument"},
     {ErrorCode::InvalidText, "invalid-text"},
@@ -23,6 +23,7 @@
     {ErrorCode::Conflict, "conflict"},
     {ErrorCode::Quarantined, "quarantined"},
     {ErrorCode::Declined, "declined"},
+    {ErrorCode::RateLimited, "rate-limited"},
 }}};
 
 } // namespace
--- /dev/null
+++ b/src/mesh/request_pacer.cpp
@@ -0,0 +1,47 @@
+#include "chivefold/mesh/request_pacer.h"
+
+#include <algorithm>
+
+namespace chivefold {
+
+Duration RequestPacer::interval() const {
+  return Duration(static_cast<Duration::rep>(1e6 / *PerSecond));
+}
+
+void RequestPacer::setRate(std::optional<double> perSecond, TimePoint now) {
+  if (!perSecond) {
+    PerSecond.reset();
+    return;
+  }
+  const auto rate = std::max(*perSecond, MinRate);
+  if (!PerSecond) {
+    NextAt = now + BurstTime;
+  } else if (NextAt > now) {
+    // The same number of requests is ahead of an even spacing as before.
+    const auto ahead = static_cast<double>((NextAt - now).count());
+    NextAt =
+        now + Duration(static_cast<Duration::rep>(ahead * *PerSecond / rate));
+  }
+  PerSecond = rate;
+}
+
+bool RequestPacer::mayStart(TimePoint now) const {
+  return wait(0, now) <= Duration::zero();
+}
+
+void RequestPacer::started(TimePoint now) {
+  if (PerSecond) {
+    NextAt = std::max(NextAt, now) + interval();
+  }
+}
+
+Duration RequestPacer::wait(std::size_t ahead, TimePoint now) const {
+  if (!PerSecond) {
+    return Duration::zero();
+  }
+  const auto startAt = std::max(NextAt, now) - BurstTime +
+                       static_cast<Duration::rep>(ahead) * interval();
+  return std::max(startAt - now, Duration::zero());
+}
+
+} // namespace chivefold
--- a/src/mesh/slot_gate.cpp
+++ b/src/mesh/slot_gate.cpp
@@ -42,6 +42,10 @@
   ColdUntil = until;
 }
 
+void SlotGate::setRequestLimit(std::optional<double> perSecond, TimePoint now) {
+  Pacer.setRate(perSecond, now);
+}
+
 std::size_t SlotGate::maxColdStarts() const {
   return static_cast<std::size_t>(
       std::max(1.0, std::floor(ColdRate * Tuning.ColdRateFraction)));
@@ -54,7 +58,7 @@
 }
 
 bool SlotGate::mayStart(TimePoint now) const {
-  if (!Open || Running.size() >= Limit) {
+  if (!Open || Running.size() >= Limit || !Pacer.mayStart(now)) {
     return false;
   }
   if (!isCold(now) || ColdRate <= 0) {
@@ -72,8 +76,9 @@
       it == RouteServiceTimes.end() ? MeanServiceTime : it->second));
 }
 
-// Returns the time until a request with that many others before it can start.
-Duration SlotGate::expectedWait(std::size_t queuedAhead, TimePoint now) const {
+// Returns the time until slots and the cold rate let a request with that many
+// others before it start.
+Duration SlotGate::slotWait(std::size_t queuedAhead, TimePoint now) const {
   if (mayStart(now) && queuedAhead == 0) {
     return Duration::zero();
   }
@@ -87,6 +92,34 @@
       static_cast<double>(queuedAhead + 1) / startsPerUs));
 }
 
+// Returns the time until a request with that many others before it can start.
+Duration SlotGate::expectedWait(std::size_t queuedAhead, TimePoint now) const {
+  return std::max(slotWait(queuedAhead, now), Pacer.wait(queuedAhead, now));
+}
+
+// Whether the stated request limit, rather than the slots, determines the wait.
+bool SlotGate::isHeldByLimit(std::size_t queuedAhead, TimePoint now) const {
+  return Pacer.wait(queuedAhead, now) > slotWait(queuedAhead, now);
+}
+
+// Slots that can be in use at the stated request limit, by Little's law. The
+// queue bounds are multiples of it, because more slots do not shorten the wait.
+double SlotGate::usableSlots() const {
+  if (!Pacer.isLimited()) {
+    return Limit;
+  }
+  return std::clamp(std::ceil(Pacer.rate() * MeanServiceTime / 1e6), 1.0,
+                    static_cast<double>(Limit));
+}
+
+// The retry-after time is not capped here: the limit is known to hold the
+// request for the whole wait.
+SlotAdmission SlotGate::refuseByLimit(Duration wait) {
+  ++Effects.Rejected;
+  return {AdmissionKind::Rejected, ErrorCode::RateLimited,
+          std::max(wait, Tuning.MinRetryAfter)};
+}
+
 SlotAdmission SlotGate::refuse(ErrorCode code, Duration wait) const {
   return {AdmissionKind::Rejected, code,
           std::clamp(wait, Tuning.MinRetryAfter, Tuning.MaxRetryAfter)};
@@ -132,7 +165,8 @@
   const auto first = Queue.lower_bound(Key{key.Late, key.Priority, 0});
   const auto last = key.Late ? Queue.end() : Queue.lower_bound(LateBegin);
   const auto perSlot = key.Late ? Tuning.LateQueuePerSlot : Tuning.QueuePerSlot;
-  return static_cast<double>(std::distance(first, last)) < Limit * perSlot;
+  return static_cast<double>(std::distance(first, last)) <
+         usableSlots() * perSlot;
 }
 
 SlotAdmission SlotGate::admit(const SlotRequest &request, TimePoint now) {
@@ -145,15 +179,19 @@
   }
   demoteLate(now);
   Key key{false, request.Priority, ++NextSequence};
-  auto wait = expectedWait(startsAheadOf(key), now);
-  if (wouldMissTarget(request.InTimeUntil, request.Route, now + wait)) {
+  auto ahead = startsAheadOf(key);
+  if (wouldMissTarget(request.InTimeUntil, request.Route,
+                      now + expectedWait(ahead, now))) {
     key.Late = true;
-    wait = expectedWait(startsAheadOf(key), now);
+    ahead = startsAheadOf(key);
   }
+  const auto wait = expectedWait(ahead, now);
+  const bool isHeld = isHeldByLimit(ahead, now);
   if (now + wait + expectedServiceTime(request.Route) > request.Deadline ||
       !hasRoom(key)) {
-    return refuse(ErrorCode::Overloaded, wait);
+    return isHeld ? refuseByLimit(wait) : refuse(ErrorCode::Overloaded, wait);
   }
+  Effects.Held += isHeld ? 1 : 0;
   Queue.emplace(key, QueuedRequest{request.Id, request.Deadline,
                                    request.InTimeUntil, request.Route});
   QueuedIds.emplace(request.Id, key);
@@ -180,6 +218,7 @@
   Running.emplace(id, route);
   dropOldStarts(now);
   RecentStarts.push_back(now);
+  Pacer.started(now);
 }
 
 // Selects the next request to start. Precondition: the queue is not empty.
@@ -228,13 +267,22 @@
   return ids;
 }
 
+// Whether a queued request cannot end before its deadline. Under a request
+// limit that is known as soon as enough requests are ahead of it; the wait for
+// slots is only an estimate.
+bool SlotGate::cannotFinish(const Key &key, const QueuedRequest &request,
+                            TimePoint now) {
+  const auto wait = Pacer.isLimited() ? Pacer.wait(startsAheadOf(key), now)
+                                      : Duration::zero();
+  return now + wait + expectedServiceTime(request.Route) > request.Deadline;
+}
+
 std::vector<GateRequestId> SlotGate::expire(TimePoint now) {
   std::vector<GateRequestId> ids;
   demoteLate(now);
   for (auto it = Queue.begin(); it != Queue.end();) {
-    const bool cannotFinish =
-        now + expectedServiceTime(it->second.Route) > it->second.Deadline;
-    it = cannotFinish ? removeQueued(it, ids) : std::next(it);
+    it = cannotFinish(it->first, it->second, now) ? removeQueued(it, ids)
+                                                  : std::next(it);
   }
   dropExcessLate(ids);
   return ids;
@@ -244,8 +292,8 @@
 // first; most of them would only wait until their deadline.
 void SlotGate::dropExcessLate(std::vector<GateRequestId> &ids) {
   const auto first = Queue.lower_bound(LateBegin);
-  const auto bound =
-      static_cast<std::ptrdiff_t>(std::ceil(Limit * Tuning.LateQueuePerSlot));
+  const auto bound = static_cast<std::ptrdiff_t>(
+      std::ceil(usableSlots() * Tuning.LateQueuePerSlot));
   for (auto n = std::distance(first, Queue.end()); n > bound; --n) {
     removeQueued(std::prev(Queue.end()), ids);
   }
@@ -287,6 +335,9 @@
     next = std::min(next,
                     it.second.Deadline - expectedServiceTime(it.second.Route));
   }
+  if (Pacer.isLimited() && Running.size() < Limit) {
+    next = std::min(next, now + Pacer.wait(0, now));
+  }
   if (isCold(now) && !RecentStarts.empty()) {
     const auto freed = std::max(RecentStarts.front() + ColdWindow, now);
     next = std::min(next, std::min(freed, ColdUntil));
@@ -303,6 +354,7 @@
   out.Queued = static_cast<std::uint32_t>(Queue.size());
   out.Cold = isCold(now);
   out.Leaving = !Open;
+  out.LimitWait = Pacer.wait(Queue.size(), now);
   if (out.Cold && ColdRate > 0 && Open) {
     // Requests that a cold server has in progress at its rate, by Little's law.
     const auto coldConcurrency =
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -104,6 +104,7 @@
   StartedAtMs = report.StartedAtMs;
   Statements.reset(hash64(report.State.Instance + "/" +
                           std::to_string(StartedAtMs.value_or(0))));
+  applyRequestLimit();
   Upstream = report.Server;
   Client.closeIdle();
   Counts.setVersion(report.State.Version);
@@ -252,9 +253,18 @@
   }
   out.SentPerSecond = Sent.perSecond(Loop.now());
   out.Malformed = MalformedLimits;
+  out.Effects = Gate.limitEffects();
   return out;
 }
 
+void BackendService::applyRequestLimit() {
+  const auto &limit = Statements.limit();
+  const bool isStated = limit.Known == LimitKnowledge::Stated;
+  Gate.setRequestLimit(isStated ? std::optional<double>(limit.PerSecond)
+                                : std::nullopt,
+                       Loop.now());
+}
+
 // An answer of another instance at the address states nothing about this
 // server, and neither does a success that the server did not sign.
 void BackendService::applyStatement(const Call &call,
@@ -269,6 +279,7 @@
       Statements.onAnswer(facts.Statement, call.ServerStart, ran, Loop.now());
   MalformedLimits += change == LimitChange::Malformed ? 1 : 0;
   if (change != LimitChange::None) {
+    applyRequestLimit();
     Lines.info("request limit of the backend server",
                {{"change", limitChangeName(change)},
                 {"request", call.Message.RequestId},
@@ -425,7 +436,7 @@
     if (it != Calls.end()) {
       const auto reply = std::move(it->second.Reply);
       Calls.erase(it);
-      refuse(reply, code, {});
+      refuse(reply, code, gate().LimitWait);
     }
   }
 }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -51,6 +51,9 @@
   }
   add("chivefold_server_sent_per_second",
       std::to_string(figures.SentPerSecond));
+  add("chivefold_limit_held_total", std::to_string(figures.Effects.Held));
+  add("chivefold_limit_rejected_total",
+      std::to_string(figures.Effects.Rejected));
   add("chivefold_server_limit_malformed_total",
       std::to_string(figures.Malformed));
   return out;
