Tell callers about a server's request limit and place requests by it

Seen: once the gate keeps to the limit, callers still sent to limited servers first, and learned about it from refusals only.

Each answer of a gate now carries the limit, the start of the server to which it belongs, and the time until it lets a new request start. Placement adds that time to the expected latency, backs off from a refusing limited server for up to a second, and returns the time that the limit needs as retry-after. A full server in another data centre is tried if the limits of all local ones hold requests up; a remote one that is itself held up is not, because the request would wait there as it does locally and its bytes would cross. The start of a server is in its fleet state, since an instance identifier can be used again.

--- a/include/chivefold/core/gate.h
+++ b/include/chivefold/core/gate.h
@@ -57,6 +57,8 @@
   RequestLimit StatedLimit{};
   /** Time until that limit lets a new request start. */
   Duration LimitWait{};
+  /** The server stated that it shuts down. */
+  bool ServerLeaving = false;
 };
 
 struct GateRequest {
--- a/include/chivefold/daemon/call_message.h
+++ b/include/chivefold/daemon/call_message.h
@@ -57,6 +57,8 @@
   std::string CallerService;
   /** Identity that the client gave the request. */
   std::string RequestId;
+  /** Request limit of the chosen server as the caller's daemon knows it. */
+  RequestLimit KnownLimit;
 
   /** @return Target without the query. */
   std::string_view path() const;
@@ -90,17 +92,19 @@
 wire::CallRequestT toWire(const CallMessage &call, TimePoint now);
 CallMessage fromWire(wire::CallRequestT &request, TimePoint now);
 
-/** Converts the state of a gate; all zero if there is none. Thread-safe. */
-std::unique_ptr<wire::GateStateT> gateToWire(const GateState &gate);
-GateState gateFromWire(const wire::GateStateT *gate);
+/** Converts the state of a gate; all zero if there is none. @p now turns times
+ * into ages. Thread-safe. */
+std::unique_ptr<wire::GateStateT> gateToWire(const GateState &gate,
+                                             TimePoint now);
+GateState gateFromWire(const wire::GateStateT *gate, TimePoint now);
 
-wire::CallAnswerT toWire(const CallResult &result);
+wire::CallAnswerT toWire(const CallResult &result, TimePoint now);
 /** @return the result, or nothing if a field is out of range. Thread-safe. */
-std::optional<CallResult> fromWire(wire::CallAnswerT &answer);
+std::optional<CallResult> fromWire(wire::CallAnswerT &answer, TimePoint now);
 
 /** @return the result that a peer answered, or nothing if there is no valid
  * one. Thread-safe. */
-std::optional<CallResult> callAnswer(PeerOutcome &outcome);
+std::optional<CallResult> callAnswer(PeerOutcome &outcome, TimePoint now);
 
 /** @return the headers without those of one connection or of this protocol.
  * Thread-safe. */
--- a/include/chivefold/mesh/fleet_table.h
+++ b/include/chivefold/mesh/fleet_table.h
@@ -31,6 +31,9 @@
   std::string Version;
   std::uint32_t Slots = 0;
   ServerPhase Phase = ServerPhase::Absent;
+  /** Identifies the start of the server process, which may reuse the instance
+   * identifier of an earlier one; 0 if unknown. */
+  std::uint64_t Start = 0;
 };
 
 /** State that a daemon publishes about its host. */
--- a/include/chivefold/mesh/placement.h
+++ b/include/chivefold/mesh/placement.h
@@ -51,7 +51,8 @@
   /** Longest back-off from a server that refused a request because it is full.
    */
   Duration MaxFullBackOff = std::chrono::milliseconds(150);
-  /** Longest back-off from a server that refuses all requests. */
+  /** Longest back-off from a server that refuses all requests, or whose stated
+   * request limit leaves no room. */
   Duration MaxClosedBackOff = std::chrono::seconds(1);
 };
 
@@ -88,8 +89,9 @@
  * Load balancer that chooses the server with the highest expected value. That
  * is the value of an answer within the target latency or after it, less the
  * cost of the bytes that cross data centres. The expected latency is computed
- * from the server's measured latencies, from the load that its gate last
- * reported and from the requests that this daemon has in progress there. It
+ * from the server's measured latencies, from the load and the wait for its
+ * request limit that its gate last reported, and from the requests that this
+ * daemon has in progress there. It
  * therefore avoids slow and failing servers, evens out load, and tries servers
  * again that have recovered. A choice takes time linear in the servers of the
  * service, and up to quadratic in those of the target version during a rollout.
@@ -142,6 +144,11 @@
   /** Records that a request was cancelled by this daemon. */
   void cancelled(const Address &peer);
 
+  /** @return the request limit that the current server of @p peer last stated
+   * to this daemon. Passed on with each request, so that it is not lost when
+   * the daemon beside the server restarts. */
+  RequestLimit knownLimit(const Address &peer) const;
+
   /** @return expected latency of a route on an average server. */
   Duration expectedLatency(const std::string &route) const;
 
@@ -169,6 +176,16 @@
     TimePoint ErrorRateAt{};
     /** End of the back-off for each priority level. */
     std::array<TimePoint, PriorityLevels> NotBefore{};
+    /** Request limit that the server last stated. */
+    RequestLimit StatedLimit;
+    /** Time at which the gate expected the limit to let a request start. */
+    TimePoint LimitFreeAt{};
+    /** Requests of this daemon since that report. */
+    std::uint32_t SentSinceReport = 0;
+    /** Earliest time at which the limit may let each priority level start. */
+    std::array<TimePoint, PriorityLevels> LimitedUntil{};
+    /** Start of a server that stated that it shuts down; 0 if none did. */
+    std::uint64_t LeavingStart = 0;
   };
   /** Moving averages of a route over all servers. */
   struct RouteStats {
@@ -176,9 +193,25 @@
     double Bytes = 0;
   };
 
+  /** Whether the data centre of this daemon has servers of a service, and
+   * whether the request limit of one of them lets a request start now. */
+  struct LocalServers {
+    bool Any = false;
+    bool AnyWithinLimit = false;
+  };
+
   bool acceptsRequests(const HostEntry &entry) const;
   std::vector<const HostState *>
   eligibleServers(const std::vector<Address> &hosts) const;
+  bool hasLeft(const HostState &host) const;
+  const ServerLoad *limitedLoad(const HostState &host) const;
+  Duration limitWait(const HostState &host, TimePoint now) const;
+  Duration retryAfter(const HostState &host, std::uint32_t priority,
+                      TimePoint now) const;
+  LocalServers localServers(const std::vector<const HostState *> &candidates,
+                            TimePoint now) const;
+  bool isWorthCrossing(const HostState &host, const LocalServers &local,
+                       TimePoint now) const;
   bool isFull(const HostState &host, TimePoint now) const;
   bool mayTry(const HostState &host, const PlacementRequest &request,
               TimePoint now) const;
--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -158,7 +158,10 @@
   void send(BackendCallId id);
   void onOutcome(BackendCallId id, HttpOutcome outcome);
   CallResult resultOf(const Call &call, HttpOutcome &outcome);
+  void adoptLimit(const CallMessage &call);
   void applyRequestLimit();
+  void logLimit(LimitChange change, double before, const CallMessage &call,
+                std::string_view source);
   void applyStatement(const Call &call, const HttpResponse &response);
   void finish(BackendCallId id, CallResult result,
               std::optional<Duration> latency);
--- a/src/daemon/call_message.cpp
+++ b/src/daemon/call_message.cpp
@@ -62,6 +62,36 @@
   return static_cast<std::uint32_t>(std::max<std::int64_t>(ms.count(), 0));
 }
 
+// Absent on the wire if nothing is known.
+std::unique_ptr<wire::RequestLimitT> limitToWire(const RequestLimit &limit,
+                                                 TimePoint now) {
+  if (limit.Known == LimitKnowledge::Unknown && limit.ServerStart == 0) {
+    return nullptr;
+  }
+  auto to = std::make_unique<wire::RequestLimitT>();
+  to->known = static_cast<std::uint8_t>(limit.Known);
+  to->server_start = limit.ServerStart;
+  if (limit.Known == LimitKnowledge::Stated) {
+    to->per_second = limit.PerSecond;
+    to->age_ms = toMs(now - limit.StatedAt);
+  }
+  return to;
+}
+
+RequestLimit limitFromWire(const wire::RequestLimitT *limit, TimePoint now) {
+  RequestLimit out;
+  // The comparison is false for NaN, too.
+  if (limit == nullptr || !(limit->per_second >= 0) ||
+      limit->known > static_cast<std::uint8_t>(LimitKnowledge::Stated)) {
+    return out;
+  }
+  out.Known = static_cast<LimitKnowledge>(limit->known);
+  out.PerSecond = limit->per_second;
+  out.ServerStart = limit->server_start;
+  out.StatedAt = now - std::chrono::milliseconds(limit->age_ms);
+  return out;
+}
+
 } // namespace
 
 std::string_view CallMessage::path() const {
@@ -99,6 +129,7 @@
   to.route = call.Route;
   to.caller_service = call.CallerService;
   to.request_id = call.RequestId;
+  to.request_limit = limitToWire(call.KnownLimit, now);
   return to;
 }
 
@@ -123,28 +154,39 @@
   call.Route = std::move(request.route);
   call.CallerService = std::move(request.caller_service);
   call.RequestId = std::move(request.request_id);
+  call.KnownLimit = limitFromWire(request.request_limit.get(), now);
   return call;
 }
 
-std::unique_ptr<wire::GateStateT> gateToWire(const GateState &gate) {
+std::unique_ptr<wire::GateStateT> gateToWire(const GateState &gate,
+                                             TimePoint now) {
   auto to = std::make_unique<wire::GateStateT>();
   to->limit = gate.Limit;
   to->in_flight = gate.InFlight;
   to->queued = gate.Queued;
   to->cold = gate.Cold;
   to->leaving = gate.Leaving;
+  to->request_limit = limitToWire(gate.StatedLimit, now);
+  to->limit_wait_ms = toMs(gate.LimitWait);
+  to->server_leaving = gate.ServerLeaving;
   return to;
 }
 
-GateState gateFromWire(const wire::GateStateT *gate) {
+GateState gateFromWire(const wire::GateStateT *gate, TimePoint now) {
   if (gate == nullptr) {
     return {};
   }
-  return {gate->limit, gate->in_flight, gate->queued, gate->cold,
-          gate->leaving};
+  return {gate->limit,
+          gate->in_flight,
+          gate->queued,
+          gate->cold,
+          gate->leaving,
+          limitFromWire(gate->request_limit.get(), now),
+          std::chrono::milliseconds(gate->limit_wait_ms),
+          gate->server_leaving};
 }
 
-wire::CallAnswerT toWire(const CallResult &result) {
+wire::CallAnswerT toWire(const CallResult &result, TimePoint now) {
   wire::CallAnswerT to;
   to.outcome = static_cast<std::uint8_t>(result.Result);
   to.error = errorName(result.Code);
@@ -152,12 +194,12 @@
   to.headers = toWire(result.Headers);
   to.body.assign(result.Body.begin(), result.Body.end());
   to.retry_after_ms = toMs(result.RetryAfter);
-  to.gate = gateToWire(result.Gate);
+  to.gate = gateToWire(result.Gate, now);
   to.call_refused = result.CallRefused;
   return to;
 }
 
-std::optional<CallResult> fromWire(wire::CallAnswerT &answer) {
+std::optional<CallResult> fromWire(wire::CallAnswerT &answer, TimePoint now) {
   if (answer.outcome > static_cast<std::uint8_t>(Outcome::Unknown)) {
     return std::nullopt;
   }
@@ -168,14 +210,14 @@
   result.Headers = fromWire(answer.headers);
   result.Body.assign(answer.body.begin(), answer.body.end());
   result.RetryAfter = std::chrono::milliseconds(answer.retry_after_ms);
-  result.Gate = gateFromWire(answer.gate.get());
+  result.Gate = gateFromWire(answer.gate.get(), now);
   result.CallRefused = answer.call_refused;
   return result;
 }
 
-std::optional<CallResult> callAnswer(PeerOutcome &outcome) {
+std::optional<CallResult> callAnswer(PeerOutcome &outcome, TimePoint now) {
   auto *answer = outcome.Answer ? outcome.Answer->AsCallAnswer() : nullptr;
-  return answer != nullptr ? fromWire(*answer) : std::nullopt;
+  return answer != nullptr ? fromWire(*answer, now) : std::nullopt;
 }
 
 HttpHeaders endToEndHeaders(const HttpHeaders &headers) {
--- a/src/daemon/call_runner.cpp
+++ b/src/daemon/call_runner.cpp
@@ -160,7 +160,7 @@
   call->Remote = Network.request(
       call->Server, frameBody(toWire(message, Loop.now())), deadline,
       [this, call, attempt](PeerOutcome outcome) {
-        auto result = callAnswer(outcome);
+        auto result = callAnswer(outcome, Loop.now());
         if (!result) {
           const auto code = outcome.Failure.Code == ErrorCode::Ok
                                 ? ErrorCode::InvalidRecord
--- a/src/daemon/claim_service.cpp
+++ b/src/daemon/claim_service.cpp
@@ -165,7 +165,7 @@
   const auto deadline = call.Deadline;
   Network.request(*holder, frameBody(toWire(call, Loop.now())), deadline,
                   [this, id](PeerOutcome outcome) {
-                    auto result = callAnswer(outcome);
+                    auto result = callAnswer(outcome, Loop.now());
                     reply(id, result ? std::move(*result)
                                      : unknownCall(outcome.Failure.Code));
                   });
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -180,8 +180,8 @@
     return;
   }
   auto call = fromWire(request, Loop.now());
-  auto reply = [respond](const CallResult &result) {
-    respond(frameBody(toWire(result)));
+  auto reply = [this, respond](const CallResult &result) {
+    respond(frameBody(toWire(result, Loop.now())));
   };
   if (call.ToClaimHolder) {
     Claims.request(std::move(call), reply);
--- a/src/mesh/fleet_table.cpp
+++ b/src/mesh/fleet_table.cpp
@@ -22,7 +22,8 @@
 
 bool sameServer(const BackendServerState &a, const BackendServerState &b) {
   return a.Instance == b.Instance && a.Service == b.Service &&
-         a.Version == b.Version && a.Slots == b.Slots && a.Phase == b.Phase;
+         a.Version == b.Version && a.Slots == b.Slots && a.Phase == b.Phase &&
+         a.Start == b.Start;
 }
 
 } // namespace
--- a/src/mesh/placement.cpp
+++ b/src/mesh/placement.cpp
@@ -1,5 +1,7 @@
 #include "chivefold/mesh/placement.h"
 
+#include "chivefold/mesh/request_pacer.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -71,11 +73,52 @@
 bool Placement::acceptsRequests(const HostEntry &entry) const {
   const auto &host = entry.State;
   return (entry.reachable() || host.Peer == Self) && !host.Leaving &&
-         host.Server.Phase == ServerPhase::Ready &&
+         host.Server.Phase == ServerPhase::Ready && !hasLeft(host) &&
          !Orders.isEvacuated(host.DataCentre) &&
          Versions.share(host.Server.Service, host.Server.Version) > 0;
 }
 
+// Whether the current server stated in an answer that it shuts down. That may
+// be known before the daemon beside it announces it, and still after it has
+// restarted and forgotten it.
+bool Placement::hasLeft(const HostState &host) const {
+  const auto load = Loads.find(host.Peer);
+  return load != Loads.end() && load->second.LeavingStart != 0 &&
+         load->second.LeavingStart == host.Server.Start;
+}
+
+// Returns the load of a host whose current server states a request limit, else
+// null.
+const Placement::ServerLoad *
+Placement::limitedLoad(const HostState &host) const {
+  const auto it = Loads.find(host.Peer);
+  if (it == Loads.end()) {
+    return nullptr;
+  }
+  const auto &limit = it->second.StatedLimit;
+  const bool isLimited = limit.Known == LimitKnowledge::Stated &&
+                         limit.ServerStart == host.Server.Start;
+  return isLimited ? &it->second : nullptr;
+}
+
+RequestLimit Placement::knownLimit(const Address &peer) const {
+  const auto *entry = Fleet.find(peer);
+  const auto *load = entry == nullptr ? nullptr : limitedLoad(entry->State);
+  return load == nullptr ? RequestLimit() : load->StatedLimit;
+}
+
+// Estimates how long the request limit would hold a request.
+Duration Placement::limitWait(const HostState &host, TimePoint now) const {
+  const auto *load = limitedLoad(host);
+  if (load == nullptr) {
+    return Duration::zero();
+  }
+  const auto interval =
+      1e6 / std::max(load->StatedLimit.PerSecond, RequestPacer::MinRate);
+  return std::max(load->LimitFreeAt - now, Duration::zero()) +
+         Duration(static_cast<Duration::rep>(load->SentSinceReport * interval));
+}
+
 bool Placement::mayTry(const HostState &host, const PlacementRequest &request,
                        TimePoint now) const {
   const auto *tried = request.Tried;
@@ -122,9 +165,10 @@
   // The occupancy term makes the emptier of two otherwise equal servers win.
   const double waitFactor = std::max(0.0, outstanding + 1 - slots) / slots;
   constexpr double occupancyWeight = 0.15;
-  return routeLatencyUs * latencyRatio *
-         (1 + waitFactor +
-          occupancyWeight * std::min(1.0, outstanding / slots));
+  return static_cast<double>(limitWait(host, now).count()) +
+         routeLatencyUs * latencyRatio *
+             (1 + waitFactor +
+              occupancyWeight * std::min(1.0, outstanding / slots));
 }
 
 double Placement::expectedValue(const HostState &host,
@@ -158,8 +202,30 @@
   return out;
 }
 
-// Used to skip full servers of other data centres: a request would wait there
-// as it does locally, and its bytes would cross data centres too.
+Placement::LocalServers
+Placement::localServers(const std::vector<const HostState *> &candidates,
+                        TimePoint now) const {
+  LocalServers out;
+  for (const auto *host : candidates) {
+    if (host->DataCentre == DataCentre) {
+      out.Any = true;
+      out.AnyWithinLimit |= limitWait(*host, now) <= Duration::zero();
+    }
+  }
+  return out;
+}
+
+// A request would wait at a full server of another data centre as it does
+// locally, and its bytes would cross data centres too. Local servers whose
+// request limit holds requests up are no alternative to a full remote one,
+// because their waits are longer.
+bool Placement::isWorthCrossing(const HostState &host,
+                                const LocalServers &local,
+                                TimePoint now) const {
+  return !(local.Any && limitWait(host, now) > Duration::zero()) &&
+         !(local.AnyWithinLimit && isFull(host, now));
+}
+
 bool Placement::isFull(const HostState &host, TimePoint now) const {
   const auto it = Loads.find(host.Peer);
   if (it == Loads.end()) {
@@ -235,6 +301,16 @@
   return out;
 }
 
+// Returns the time until a client may ask again for a server that this daemon
+// backs off from.
+Duration Placement::retryAfter(const HostState &host, std::uint32_t priority,
+                               TimePoint now) const {
+  const auto *load = limitedLoad(host);
+  const auto until =
+      load == nullptr ? now : load->LimitedUntil[priorityLevel(priority)];
+  return until > now ? until - now : NoServerRetryAfter;
+}
+
 PlacementChoice Placement::choose(const PlacementRequest &request,
                                   TimePoint now) {
   PlacementChoice out;
@@ -253,17 +329,19 @@
   const auto candidates = eligibleServers(hosts->second);
   const auto targets =
       wantsTarget ? targetServers(candidates, *split) : std::vector<Address>{};
-  const bool hasLocal =
-      std::any_of(candidates.begin(), candidates.end(), [this](const auto *it) {
-        return it->DataCentre == DataCentre;
-      });
+  const auto local = localServers(candidates, now);
   std::uniform_real_distribution<double> jitter(0, Jitter);
   double bestValue = 0;
   const HostState *chosen = nullptr;
   bool chosenIsWantedVersion = false;
+  std::optional<Duration> soonest;
   for (const auto *host : candidates) {
-    if (!mayTry(*host, request, now) ||
-        (hasLocal && host->DataCentre != DataCentre && isFull(*host, now))) {
+    if (!mayTry(*host, request, now)) {
+      const auto after = retryAfter(*host, request.Priority, now);
+      soonest = std::min(soonest.value_or(after), after);
+      continue;
+    }
+    if (host->DataCentre != DataCentre && !isWorthCrossing(*host, local, now)) {
       continue;
     }
     ++out.Candidates;
@@ -292,11 +370,14 @@
     out.Instance = chosen->Server.Instance;
     out.Version = chosen->Server.Version;
   }
+  out.RetryAfter = soonest.value_or(NoServerRetryAfter);
   return out;
 }
 
 void Placement::started(const Address &peer) {
-  ++Loads[peer].OwnRequests;
+  auto &load = Loads[peer];
+  ++load.OwnRequests;
+  ++load.SentSinceReport;
   recordForSplit(peer, 1);
 }
 
@@ -306,6 +387,20 @@
   load.OtherRequests = std::max(0.0, static_cast<double>(gate.InFlight) +
                                          gate.Queued - load.OwnRequests);
   load.GateStateAt = now;
+  load.LimitFreeAt = now + gate.LimitWait;
+  load.SentSinceReport = 0;
+  const auto &limit = gate.StatedLimit;
+  // A daemon that has restarted does not know the limit until its server
+  // answers.
+  const bool isForgotten = limit.Known == LimitKnowledge::Unknown &&
+                           (limit.ServerStart == 0 ||
+                            limit.ServerStart == load.StatedLimit.ServerStart);
+  if (!isForgotten) {
+    load.StatedLimit = limit;
+  }
+  if (gate.ServerLeaving) {
+    load.LeavingStart = limit.ServerStart;
+  }
 }
 
 // Counts a request of this daemon as ended.
@@ -356,12 +451,14 @@
   auto &load = endRequest(peer);
   updateGateState(load, gate, now);
   const bool isClosed = gate.Limit == 0;
-  const auto until =
-      now + std::min(retryAfter, isClosed ? Settings.MaxClosedBackOff
-                                          : Settings.MaxFullBackOff);
+  const bool isLimited = gate.LimitWait > Duration::zero();
+  const auto until = now + std::min(retryAfter, isClosed || isLimited
+                                                    ? Settings.MaxClosedBackOff
+                                                    : Settings.MaxFullBackOff);
   for (auto i = isClosed ? 0 : priorityLevel(priority); i < PriorityLevels;
        ++i) {
     load.NotBefore[i] = until;
+    load.LimitedUntil[i] = now + retryAfter;
   }
 }
 
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -12,6 +12,13 @@
  */
 constexpr Duration AnswerGrace = std::chrono::milliseconds(20);
 
+/** @return a number that identifies the start of a server process, the same on
+ * each start of this daemon. */
+std::uint64_t startOf(const ServerReport &report) {
+  return hash64(report.State.Instance + "/" +
+                std::to_string(report.StartedAtMs.value_or(0)));
+}
+
 bool isSuccess(int status) { return status >= 200 && status < 300; }
 
 } // namespace
@@ -60,6 +67,7 @@
                        Server.Slots != report.State.Slots ||
                        Server.Version != report.State.Version;
   Server = report.State;
+  Server.Start = Statements.limit().ServerStart;
   if (changed) {
     Lines.info("backend server state changed",
                {{"instance", Server.Instance},
@@ -102,8 +110,7 @@
   Interrupted.clear();
   endCurrentInstance();
   StartedAtMs = report.StartedAtMs;
-  Statements.reset(hash64(report.State.Instance + "/" +
-                          std::to_string(StartedAtMs.value_or(0))));
+  Statements.reset(startOf(report));
   applyRequestLimit();
   Upstream = report.Server;
   Client.closeIdle();
@@ -280,18 +287,37 @@
   MalformedLimits += change == LimitChange::Malformed ? 1 : 0;
   if (change != LimitChange::None) {
     applyRequestLimit();
-    Lines.info("request limit of the backend server",
-               {{"change", limitChangeName(change)},
-                {"request", call.Message.RequestId},
-                {"instance", Server.Instance},
-                {"per_second", Statements.limit().PerSecond},
-                {"before", before},
-                {"sent_per_second", Sent.perSecond(Loop.now())},
-                {"running", std::uint64_t{Gate.state(Loop.now()).InFlight}},
-                {"queued", std::uint64_t{Gate.state(Loop.now()).Queued}}});
+    logLimit(change, before, call.Message, "answer");
   }
 }
 
+// After a restart of this daemon, callers that received a limit before know it
+// until the server answers again.
+void BackendService::adoptLimit(const CallMessage &call) {
+  const auto change = Statements.onCopy(call.KnownLimit);
+  if (change != LimitChange::None) {
+    applyRequestLimit();
+    logLimit(change, 0, call, "caller");
+  }
+}
+
+void BackendService::logLimit(LimitChange change, double before,
+                              const CallMessage &call,
+                              std::string_view source) {
+  const auto now = Loop.now();
+  const auto state = Gate.state(now);
+  Lines.info("request limit of the backend server",
+             {{"change", limitChangeName(change)},
+              {"source", source},
+              {"request", call.RequestId},
+              {"instance", Server.Instance},
+              {"per_second", Statements.limit().PerSecond},
+              {"before", before},
+              {"sent_per_second", Sent.perSecond(now)},
+              {"running", state.InFlight},
+              {"queued", state.Queued}});
+}
+
 CallResult BackendService::resultOf(const Call &call, HttpOutcome &outcome) {
   if (!outcome.Response) {
     const auto code = outcome.Response.reason().Code;
--- a/src/sidecar/fleet_service.cpp
+++ b/src/sidecar/fleet_service.cpp
@@ -16,11 +16,12 @@
   to->version = server.Version;
   to->slots = server.Slots;
   to->phase = static_cast<std::uint8_t>(server.Phase);
+  to->start = server.Start;
   return to;
 }
 
 /** @return the state, or nothing if a field is missing or out of range. */
-std::optional<HostState> stateOf(const wire::HelloT &hello) {
+std::optional<HostState> stateOf(const wire::HelloT &hello, TimePoint now) {
   const auto peer = fromWire(hello.address.get());
   if (!peer || !hello.server ||
       hello.server->phase > static_cast<std::uint8_t>(ServerPhase::Draining)) {
@@ -37,7 +38,8 @@
   out.Server.Version = hello.server->version;
   out.Server.Slots = hello.server->slots;
   out.Server.Phase = static_cast<ServerPhase>(hello.server->phase);
-  out.Gate = gateFromWire(hello.gate.get());
+  out.Server.Start = hello.server->start;
+  out.Gate = gateFromWire(hello.gate.get(), now);
   return out;
 }
 
@@ -209,7 +211,7 @@
   out.sequence = self.Sequence;
   out.leaving = self.Leaving;
   out.server = toWire(self.Server);
-  out.gate = gateToWire(self.Gate);
+  out.gate = gateToWire(self.Gate, Loop.now());
   out.address_digest = Table.addressDigest();
   out.operator_end = piggybacked.OperatorEnd;
   out.rollout_digest = piggybacked.RolloutDigest;
@@ -250,7 +252,7 @@
 
 // Handles a hello message, or the answer to one, sent by the host it describes.
 void FleetService::handleHello(wire::HelloT &hello) {
-  const auto state = stateOf(hello);
+  const auto state = stateOf(hello, Loop.now());
   if (!state || state->Peer == Own) {
     return;
   }
@@ -274,7 +276,7 @@
 }
 
 void FleetService::handleAnnouncement(wire::HelloT &hello) {
-  const auto state = stateOf(hello);
+  const auto state = stateOf(hello, Loop.now());
   if (!state || state->Peer == Own) {
     return;
   }
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -219,7 +219,7 @@
         if (!open) {
           return;
         }
-        auto answer = callAnswer(outcome);
+        auto answer = callAnswer(outcome, Loop.now());
         if (answer) {
           return onResult(open, std::move(*answer));
         }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -239,7 +239,7 @@
       fromWire(request, Loop.now()),
       [this, token, respond](const CallResult &result) {
         PeerCalls.erase(token);
-        respond(frameBody(toWire(result)));
+        respond(frameBody(toWire(result, Loop.now())));
       },
       [this, token] { return Network.isWanted(token); });
   if (Backend.isOpen(id)) {
