Keep what a server states about itself across restarts, and its leaving

Only the daemon beside a server knew its limit. After that daemon restarts, requests of hosts that were told the limit reach the server at full rate until its first answer, and longer if answers are slow; only the restarted host is excused. A caller's daemon now keeps the limit with the start of the server and attaches it to each request. A gate that has had no answer since it or its server started adopts it; from the first answer on the server's own word counts, so that an old copy cannot bring a limit back. Copies of another start have no effect, even if the instance identifier is the same.

A leaving server was known by its report alone. A report that is late, or a daemon that restarted and received an older one, keeps the server in use while its answers already say Server-Leaving. The daemon beside it now treats it as draining from that answer on, whatever a later report of the same start says, and announces it.

--- a/include/chivefold/io/http.h
+++ b/include/chivefold/io/http.h
@@ -37,6 +37,9 @@
  */
 std::string_view headerValue(const HttpHeaders &headers, std::string_view name);
 
+/** @return whether a status is 2xx. Thread-safe. */
+constexpr bool isSuccess(int status) { return status >= 200 && status < 300; }
+
 struct HttpRequest {
   std::string Method;
   /** Path without the query, beginning with '/'. */
--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -171,6 +171,7 @@
   void beginInstance(const ServerReport &report);
   void updateGate();
   void markUnresponsive();
+  void stopIfLeaving(const std::string &requestId);
   void recordInterruption(const Call &call, const CallResult &result);
   void reportCrash();
   void count(const Call &call, const CallResult &result, Duration latency);
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -19,8 +19,6 @@
                 std::to_string(report.StartedAtMs.value_or(0)));
 }
 
-bool isSuccess(int status) { return status >= 200 && status < 300; }
-
 } // namespace
 
 BackendService::BackendService(Reactor &reactor, HttpClient &client,
@@ -62,12 +60,16 @@
   Unresponsive = false;
   UnansweredCalls = 0;
   ColdUntil = Loop.now() + report.ColdFor;
-  const bool changed = back || !sameStart ||
-                       Server.Phase != report.State.Phase ||
-                       Server.Slots != report.State.Slots ||
-                       Server.Version != report.State.Version;
+  const bool changed =
+      back || !sameStart ||
+      (Server.Phase != report.State.Phase && !Statements.isLeaving()) ||
+      Server.Slots != report.State.Slots ||
+      Server.Version != report.State.Version;
   Server = report.State;
   Server.Start = Statements.limit().ServerStart;
+  if (Statements.isLeaving()) {
+    Server.Phase = ServerPhase::Draining;
+  }
   if (changed) {
     Lines.info("backend server state changed",
                {{"instance", Server.Instance},
@@ -195,6 +197,7 @@
     refuse(reply, ErrorCode::Quarantined, *left);
     return id;
   }
+  adoptLimit(call);
   const auto offer =
       Gate.admit({id, call.Worth, call.Deadline, call.Route, call.InTimeUntil},
                  Loop.now());
@@ -246,78 +249,6 @@
   });
 }
 
-GateState BackendService::gate() const {
-  auto out = Gate.state(Loop.now());
-  out.StatedLimit = Statements.limit();
-  return out;
-}
-
-LimitFigures BackendService::limitFigures() const {
-  LimitFigures out;
-  const auto &limit = Statements.limit();
-  if (limit.Known == LimitKnowledge::Stated) {
-    out.Limit = limit.PerSecond;
-  }
-  out.SentPerSecond = Sent.perSecond(Loop.now());
-  out.Malformed = MalformedLimits;
-  out.Effects = Gate.limitEffects();
-  return out;
-}
-
-void BackendService::applyRequestLimit() {
-  const auto &limit = Statements.limit();
-  const bool isStated = limit.Known == LimitKnowledge::Stated;
-  Gate.setRequestLimit(isStated ? std::optional<double>(limit.PerSecond)
-                                : std::nullopt,
-                       Loop.now());
-}
-
-// An answer of another instance at the address states nothing about this
-// server, and neither does a success that the server did not sign.
-void BackendService::applyStatement(const Call &call,
-                                    const HttpResponse &response) {
-  const auto facts = Ports.Requests.readServer(response);
-  if (facts.OtherInstance || (isSuccess(response.Status) && !facts.Authentic)) {
-    return;
-  }
-  const bool ran = !facts.NotRun && facts.Authentic;
-  const auto before = Statements.limit().PerSecond;
-  const auto change =
-      Statements.onAnswer(facts.Statement, call.ServerStart, ran, Loop.now());
-  MalformedLimits += change == LimitChange::Malformed ? 1 : 0;
-  if (change != LimitChange::None) {
-    applyRequestLimit();
-    logLimit(change, before, call.Message, "answer");
-  }
-}
-
-// After a restart of this daemon, callers that received a limit before know it
-// until the server answers again.
-void BackendService::adoptLimit(const CallMessage &call) {
-  const auto change = Statements.onCopy(call.KnownLimit);
-  if (change != LimitChange::None) {
-    applyRequestLimit();
-    logLimit(change, 0, call, "caller");
-  }
-}
-
-void BackendService::logLimit(LimitChange change, double before,
-                              const CallMessage &call,
-                              std::string_view source) {
-  const auto now = Loop.now();
-  const auto state = Gate.state(now);
-  Lines.info("request limit of the backend server",
-             {{"change", limitChangeName(change)},
-              {"source", source},
-              {"request", call.RequestId},
-              {"instance", Server.Instance},
-              {"per_second", Statements.limit().PerSecond},
-              {"before", before},
-              {"sent_per_second", Sent.perSecond(now)},
-              {"running", state.InFlight},
-              {"queued", state.Queued}});
-}
-
 CallResult BackendService::resultOf(const Call &call, HttpOutcome &outcome) {
   if (!outcome.Response) {
     const auto code = outcome.Response.reason().Code;
@@ -366,8 +297,10 @@
   count(it->second, result, latency);
   recordInterruption(it->second, result);
   const bool answered = result.Result == Outcome::Answered;
+  const auto request = it->second.Message.RequestId;
   finish(id, std::move(result),
          answered ? std::optional<Duration>(latency) : std::nullopt);
+  stopIfLeaving(request);
   if (refusedConnection) {
     reportCrash();
     markUnresponsive();
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -198,6 +198,7 @@
   request->AttemptAt = Loop.now();
   request->InProgress = true;
   request->Call.Instance = choice.Instance;
+  request->Call.KnownLimit = Parts.Servers.knownLimit(*choice.Peer);
   Parts.Servers.started(*choice.Peer);
   const std::weak_ptr<Request> weak = request;
   if (*choice.Peer == Self) {
