--- a/src/mesh/slot_gate.cpp
+++ b/src/mesh/slot_gate.cpp
@@ -183,10 +183,16 @@
 }
 
 // Higher priorities do not use up the queue bound of lower ones, and late
-// requests do not use up that of requests in time.
+// requests do not use up that of requests in time. Under a request limit the
+// bound is short, and lower priorities must not use up that of higher ones.
 bool SlotGate::hasRoom(const Key &key) const {
-  const auto first = Queue.lower_bound(Key{key.Late, key.Priority, 0});
-  const auto last = key.Late ? Queue.end() : Queue.lower_bound(LateBegin);
+  const auto begin = key.Late ? Queue.lower_bound(LateBegin) : Queue.begin();
+  const auto end = key.Late ? Queue.end() : Queue.lower_bound(LateBegin);
+  const bool isLimited = Pacer.isLimited();
+  const auto first =
+      isLimited ? begin : Queue.lower_bound(Key{key.Late, key.Priority, 0});
+  const auto last =
+      isLimited ? Queue.lower_bound(Key{key.Late, key.Priority + 1, 0}) : end;
   const auto perSlot = key.Late ? Tuning.LateQueuePerSlot : Tuning.QueuePerSlot;
   return static_cast<double>(std::distance(first, last)) <
          usableSlots() * perSlot;
