--- a/include/chivefold/mesh/server_statements.h
+++ b/include/chivefold/mesh/server_statements.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace chivefold {
@@ -48,6 +49,10 @@
  * malformed. Thread-safe. */
 std::optional<double> parseRequestLimit(std::string_view text);
 
+/** @return a stated limit and its age, such as "25.2/s,age_ms:310", or "none",
+ * for log lines. Thread-safe. */
+std::string describe(const RequestLimit &limit, TimePoint now);
+
 /**
  * Keeps the statements of the current start of a backend server. Statements of
  * other starts have no effect. A request limit holds until an answer states
--- a/src/mesh/server_statements.cpp
+++ b/src/mesh/server_statements.cpp
@@ -3,7 +3,9 @@
 #include "chivefold/core/enum_names.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
+#include <cstdio>
 
 namespace chivefold {
 
@@ -56,6 +58,18 @@
   return LimitChangeNames.name(change);
 }
 
+std::string describe(const RequestLimit &limit, TimePoint now) {
+  if (limit.Known != LimitKnowledge::Stated) {
+    return "none";
+  }
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - limit.StatedAt);
+  std::array<char, 64> buf{};
+  std::snprintf(buf.data(), buf.size(), "%.4g/s,age_ms:%lld", limit.PerSecond,
+                static_cast<long long>(age.count()));
+  return buf.data();
+}
+
 std::optional<double> parseRequestLimit(std::string_view text) {
   if (text.size() > MaxLimitLength) {
     return std::nullopt;
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -1,9 +1,9 @@
 #include "chivefold/sidecar/proxy_service.h"
 
 #include "chivefold/daemon/wire_convert.h"
+#include "chivefold/sidecar/refusal.h"
 
 #include <algorithm>
-#include <cstdio>
 
 namespace chivefold {
 
@@ -24,18 +24,6 @@
                                     1000);
 }
 
-HttpResponse refusal(int status, Duration retryAfter) {
-  HttpResponse out;
-  out.Status = status;
-  std::array<char, 32> buf{};
-  std::snprintf(
-      buf.data(), buf.size(), "%.3f",
-      static_cast<double>(std::max<Duration::rep>(retryAfter.count(), 1000)) /
-          1e6);
-  out.Headers.push_back({"Retry-After", buf.data()});
-  return out;
-}
-
 } // namespace
 
 struct ProxyService::Request {
@@ -317,6 +305,7 @@
                 {"slots", std::uint64_t{result.Gate.Limit}},
                 {"in_flight", std::uint64_t{result.Gate.InFlight}},
                 {"queued", std::uint64_t{result.Gate.Queued}},
+                {"limit", describe(result.Gate.StatedLimit, now)},
                 {"expected_ms", toMs(facts.ExpectedLatency)},
                 {"left_ms", toMs(facts.TimeLeft)},
                 {"again", step == NextStep::Retry ? "yes" : "no"}});
