Log the era of the store and count answers of another era

Each answer's Store-Era is parsed; a rise, an answer of an earlier era and one without an era are logged and counted, and the last two are not used. Skipped records are logged. No other decision changes.

--- a/include/chivefold/sidecar/ports.h
+++ b/include/chivefold/sidecar/ports.h
@@ -10,6 +10,7 @@
 #include "chivefold/mesh/fleet_table.h"
 #include "chivefold/mesh/operator_state.h"
 #include "chivefold/mesh/server_statements.h"
+#include "chivefold/mesh/store_history.h"
 #include "chivefold/mesh/version_policy.h"
 
 #include <cstdint>
@@ -114,6 +115,8 @@
   std::uint64_t End = 0;
   /** The listing has further pages after the last key. */
   bool HasMore = false;
+  /** Era of the history that was read. */
+  std::uint64_t Era = 0;
 };
 
 /** Outcome of a conditional append. */
@@ -128,6 +131,18 @@
   Uncertain
 };
 
+/** Answer to an append. */
+struct AppendResult {
+  AppendOutcome Outcome = AppendOutcome::Uncertain;
+  /** Offset of the record if it was written, else the end offset of the stream
+   * if the store returned it. */
+  std::optional<std::uint64_t> Offset;
+  /** Era of the history in which the record was written. */
+  std::uint64_t Era = 0;
+  /** Why the record was not written; Code is Ok if it was. */
+  Reason Failure;
+};
+
 /**
  * Asynchronous client of the platform's store. Used on the reactor's thread
  * only. Callbacks run from the event loop, never before the call returns.
@@ -136,10 +151,7 @@
 class KeyedStore {
 public:
   using ReadDone = std::function<void(Result<KeyedBatch>)>;
-  /** @p offset is the offset of the record if it was written, else the end
-   * offset of the stream if the store returned it. */
-  using AppendDone = std::function<void(
-      AppendOutcome end, std::optional<std::uint64_t> offset, Reason reason)>;
+  using AppendDone = std::function<void(const AppendResult &)>;
 
   virtual ~KeyedStore() = default;
 
@@ -161,6 +173,13 @@
                       TimePoint deadline, AppendDone done) = 0;
 };
 
+/** The platform's store and the era of its answers; both must outlive their
+ * users. */
+struct StoreAccess {
+  KeyedStore &Store;
+  const StoreEra &Era;
+};
+
 /** Encodes rollout statuses for the operator. Thread-safe. */
 class StatusCodec {
 public:
--- a/include/chivefold/sidecar/sidecar.h
+++ b/include/chivefold/sidecar/sidecar.h
@@ -20,7 +20,8 @@
   /** @param ports and @param store of the platform, which must outlive this
    * object. @param seed seeds all random choices. */
   Sidecar(Reactor &reactor, SidecarSettings settings,
-          const PlatformPorts &ports, KeyedStore &store, std::uint64_t seed);
+          const PlatformPorts &ports, const StoreAccess &store,
+          std::uint64_t seed);
   ~Sidecar();
   Sidecar(const Sidecar &) = delete;
   Sidecar &operator=(const Sidecar &) = delete;
--- a/src/sidecar/fleet_service.cpp
+++ b/src/sidecar/fleet_service.cpp
@@ -66,17 +66,16 @@
 
 void FleetService::registerSelf() {
   const auto self = Self();
-  Store.append(
-      KeyedStream::Hosts, toString(self.Peer), self.DataCentre, std::nullopt,
-      Loop.now() + StoreTimeout,
-      [this](AppendOutcome end, auto /*offset*/, const Reason &reason) {
-        if (end != AppendOutcome::Written) {
-          return retryStore(reason);
-        }
-        Written = true;
-        StoreFailures = 0;
-        listHosts("");
-      });
+  Store.append(KeyedStream::Hosts, toString(self.Peer), self.DataCentre,
+               std::nullopt, Loop.now() + StoreTimeout,
+               [this](const AppendResult &result) {
+                 if (result.Outcome != AppendOutcome::Written) {
+                   return retryStore(result.Failure);
+                 }
+                 Written = true;
+                 StoreFailures = 0;
+                 listHosts("");
+               });
 }
 
 void FleetService::listHosts(const std::string &afterKey) {
--- a/src/sidecar/order_feed.cpp
+++ b/src/sidecar/order_feed.cpp
@@ -97,6 +97,10 @@
   OperatorChange all;
   for (const auto &it : records) {
     const auto change = State.apply(it);
+    if (!change.any() && change.Ignored.Code == ErrorCode::Ok) {
+      Lines.info("skipped a known record of the operator",
+                 {{"key", it.Key}, {"offset", it.Offset}});
+    }
     all.Configuration |= change.Configuration;
     all.Rollouts |= change.Rollouts;
     all.Evacuations |= change.Evacuations;
--- a/src/sidecar/rollout_service.cpp
+++ b/src/sidecar/rollout_service.cpp
@@ -292,10 +292,9 @@
   Parts.Store.append(
       KeyedStream::Rollouts, progress.Service, bytes, at,
       Loop.now() + StoreTimeout,
-      [this, progress, at](AppendOutcome end, auto /*offset*/,
-                           const Reason &reason) mutable {
+      [this, progress, at](const AppendResult &result) mutable {
         Writing = false;
-        if (end == AppendOutcome::Written) {
+        if (result.Outcome == AppendOutcome::Written) {
           StoreFailures = 0;
           StreamEnd = at + 1;
           progress.Offset = at;
@@ -314,8 +313,8 @@
         ++StoreFailures;
         Lines.warn("writing rollout progress to the store failed",
                    {{"service", progress.Service},
-                    {"error", errorName(reason.Code)},
-                    {"reason", reason.Message}});
+                    {"error", errorName(result.Failure.Code)},
+                    {"reason", result.Failure.Message}});
         NextWrite = Loop.now() + std::min<Duration>(
                                      TickInterval * std::min(StoreFailures, 4U),
                                      MaxStoreRetryDelay);
@@ -334,16 +333,14 @@
   Parts.Store.append(
       KeyedStream::RolloutStatus, Parts.Ports.Statuses.key(progress),
       Parts.Ports.Statuses.encode(progress), std::nullopt,
-      Loop.now() + StoreTimeout,
-      [this, progress](AppendOutcome end, auto /*offset*/,
-                       const Reason &reason) {
+      Loop.now() + StoreTimeout, [this, progress](const AppendResult &result) {
         const auto it = Drives.find(progress.Service);
         if (it == Drives.end() ||
             it->second.OrderOffset != progress.OrderOffset) {
           return;
         }
         it->second.Reporting = false;
-        if (end == AppendOutcome::Written) {
+        if (result.Outcome == AppendOutcome::Written) {
           it->second.ReportedPhase = progress.Phase;
           Lines.info("rollout status written",
                      {{"service", progress.Service},
@@ -353,7 +350,8 @@
         ++StoreFailures;
         NextWrite = Loop.now() + TickInterval;
         Lines.warn("writing rollout status to the store failed",
-                   {{"service", progress.Service}, {"reason", reason.Message}});
+                   {{"service", progress.Service},
+                    {"reason", result.Failure.Message}});
       });
 }
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -59,11 +59,25 @@
   return out;
 }
 
+// Eras of the store in the Prometheus text format.
+std::string eraMetrics(const StoreEra &era) {
+  const auto &counts = era.counters();
+  std::string out;
+  const auto add = [&out](std::string_view name, std::uint64_t value) {
+    out.append(name).append(" ").append(std::to_string(value)).append("\n");
+  };
+  add("chivefold_store_era", era.current());
+  add("chivefold_store_era_risen_total", counts.Risen);
+  add("chivefold_store_answers_of_earlier_era_total", counts.Stale);
+  add("chivefold_store_answers_without_era_total", counts.Missing);
+  return out;
+}
+
 } // namespace
 
 struct Sidecar::Impl {
   Impl(Reactor &reactor, SidecarSettings settings, const PlatformPorts &ports,
-       KeyedStore &store, std::uint64_t seed);
+       const StoreAccess &store, std::uint64_t seed);
 
   HostState self() const;
   void onFrame(wire::FrameBodyUnion &body, const PeerResponder &respond);
@@ -89,6 +103,7 @@
   /** New requests of clients are refused. */
   bool Closed = false;
 
+  const StoreEra &Era;
   OperatorState Orders;
   VersionPolicy Versions;
   FleetTable Hosts;
@@ -113,11 +128,11 @@
 };
 
 Sidecar::Impl::Impl(Reactor &reactor, SidecarSettings settings,
-                    const PlatformPorts &ports, KeyedStore &store,
+                    const PlatformPorts &ports, const StoreAccess &store,
                     std::uint64_t seed)
     : Loop(reactor), Own(std::move(settings)), Ports(ports), Seeds(seed),
-      BootId(Seeds()), StartedAt(Loop.now()), Orders(ports.Orders),
-      Versions(Orders), Hosts(Seeds()),
+      BootId(Seeds()), StartedAt(Loop.now()), Era(store.Era),
+      Orders(ports.Orders), Versions(Orders), Hosts(Seeds()),
       Plan(Hosts, Own.PeerListen, Own.DataCentre, Seeds()),
       Readers(Hosts, Own.PeerListen, Own.DataCentre),
       Servers(Hosts, Orders, Versions, Own.PeerListen, Own.DataCentre, Seeds()),
@@ -132,7 +147,7 @@
               {Own.BackendServer, Own.PeerListen, Own.DataCentre},
               [this] { onServerChanged(); }),
       Fleet(
-          Loop, Network, store, Hosts, Plan, Own.PeerListen,
+          Loop, Network, store.Store, Hosts, Plan, Own.PeerListen,
           [this] { return self(); },
           [this] {
             return PiggybackedState{
@@ -146,10 +161,10 @@
           },
           [this] { Servers.refresh(); }, Seeds()),
       Feed(
-          Loop, {store, Network, Orders, Plan, Readers}, Own.PeerListen,
+          Loop, {store.Store, Network, Orders, Plan, Readers}, Own.PeerListen,
           [this](const OperatorChange &change) { onOrders(change); }, Seeds()),
       Rollouts(Loop, Network,
-               {store, ports, Orders, Hosts, Servers, Backend, Versions},
+               {store.Store, ports, Orders, Hosts, Servers, Backend, Versions},
                shortRolloutSettings(Own.Exposure), Own.PeerListen,
                [this] { Servers.refresh(); }),
       Proxy(Loop, Network,
@@ -270,7 +285,8 @@
                               {{"Content-Type", "text/plain"}},
                               toPrometheus(CallMetrics.report(Loop.now())) +
                                   trafficMetrics(Network) +
-                                  limitMetrics(Backend.limitFigures())});
+                                  limitMetrics(Backend.limitFigures()) +
+                                  eraMetrics(Era)});
   }
   if (request.Path == "/-/ready") {
     return exchange->respond({isReady() ? 200 : 503, {}, ""});
@@ -332,7 +348,7 @@
 }
 
 Sidecar::Sidecar(Reactor &reactor, SidecarSettings settings,
-                 const PlatformPorts &ports, KeyedStore &store,
+                 const PlatformPorts &ports, const StoreAccess &store,
                  std::uint64_t seed)
     : Implementation(std::make_unique<Impl>(reactor, std::move(settings), ports,
                                             store, seed)) {}
