Keep a rollback provisional until the store has it

Cause: the driver decided again while its completion was being written, and a rollback that takes effect before it is written had the offset that the next record would get. Confirmation and order of progress compare offsets, so the completion's answer confirmed the rollback.

A rollback in force before it is written is now provisional: it has no place in the stream, is kept beside the agreed progress and gives way to an end that the store has. No decision is made while a completion is written or its outcome is unknown.

The test failed before: told rolled_back, agreed phase rolled-back, share of the completed version 0.

--- a/include/chivefold/mesh/version_policy.h
+++ b/include/chivefold/mesh/version_policy.h
@@ -20,6 +20,9 @@
 /** Phase of a rollout; Completed and RolledBack are final. */
 enum class RolloutPhase : std::uint8_t { Running, Completed, RolledBack };
 
+/** @return whether the rollout has ended. Thread-safe. */
+bool isFinal(RolloutPhase phase);
+
 /** @return "running", "completed" or "rolled-back". Thread-safe. */
 std::string_view rolloutPhaseName(RolloutPhase phase);
 
@@ -43,6 +46,8 @@
   std::string BaseVersion;
   /** Offset of the record in its stream; progress with a lower one is older. */
   std::uint64_t Offset = 0;
+  /** A rollback that is in force before it is agreed. */
+  bool Provisional = false;
 };
 
 /**
@@ -59,7 +64,8 @@
 
   explicit VersionPolicy(const OperatorState &orders);
 
-  /** Stores progress that is newer than the known one.
+  /** Stores progress that is newer than the known one. A provisional rollback
+   * is kept beside the agreed progress until its order has ended.
    * @return whether it was stored. */
   bool apply(const RolloutProgress &progress);
 
@@ -84,15 +90,23 @@
 
   /** @return the agreed progress, or null if there is none. */
   const RolloutProgress *progress(std::string_view service) const;
+  /** @return the provisional rollback, or null if there is none. */
+  const RolloutProgress *provisionalRollback(std::string_view service) const;
+  /** @return the agreed progress and provisional rollbacks of all services. */
   std::vector<RolloutProgress> allProgress() const;
 
 private:
+  bool applyProvisional(const RolloutProgress &progress);
+  /** @return the progress that decides the shares, or null. */
+  const RolloutProgress *inForce(std::string_view service) const;
   const RolloutOrder *order(std::string_view service) const;
   bool isRejected(const RolloutProgress &progress,
                   std::string_view version) const;
 
   const OperatorState &Orders;
   std::map<std::string, RolloutProgress, std::less<>> Progress;
+  /** Provisional rollbacks. */
+  std::map<std::string, RolloutProgress, std::less<>> Rollbacks;
   std::map<std::string, std::string, std::less<>> FirstVersions;
 };
 
--- a/include/chivefold/sidecar/rollout_service.h
+++ b/include/chivefold/sidecar/rollout_service.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace chivefold {
@@ -36,8 +37,9 @@
  * the lowest hash of its address and the service. The driver writes each step
  * to the store by a conditional append. If two daemons act as driver, the
  * append of one fails, and it reads the progress again. A rollback takes effect
- * and is distributed before it is written, since it is always safe. Used on the
- * reactor's thread only.
+ * and is distributed before it is written, since it is always safe; until then
+ * it is provisional and gives way to an end that the store has. The operator is
+ * told of an end only when the store has it. Used on the reactor's thread only.
  */
 class RolloutService {
 public:
@@ -100,7 +102,9 @@
                      const RolloutProgress &progress) const;
   RolloutProgress firstProgress(const RolloutOrder &order) const;
   void decide(const RolloutOrder &order, Drive &drive);
+  void rollBack(RolloutProgress progress);
   void write(RolloutProgress progress);
+  void onWritten(RolloutProgress progress, const AppendResult &result);
   void reportStatus(const RolloutProgress &progress, Drive &drive);
   bool applyProgress(const RolloutProgress &progress);
   void broadcastProgress() const;
@@ -118,6 +122,9 @@
   std::optional<std::uint64_t> StreamEnd;
   /** Offset of the newest record that the store confirmed, by service. */
   std::map<std::string, std::uint64_t> ConfirmedOffsets;
+  /** Services whose completion is being written, or may have been: nothing else
+   * is decided for them until the store answers. */
+  std::set<std::string> PendingCompletions;
   bool Writing = false;
   bool Listing = false;
   TimePoint NextWrite{};
--- a/src/mesh/version_policy.cpp
+++ b/src/mesh/version_policy.cpp
@@ -11,6 +11,8 @@
 
 } // namespace
 
+bool isFinal(RolloutPhase phase) { return phase != RolloutPhase::Running; }
+
 std::string_view rolloutPhaseName(RolloutPhase phase) {
   return PhaseNames[static_cast<std::size_t>(phase)];
 }
@@ -18,18 +20,37 @@
 VersionPolicy::VersionPolicy(const OperatorState &orders) : Orders(orders) {}
 
 bool VersionPolicy::apply(const RolloutProgress &progress) {
+  if (progress.Provisional) {
+    return applyProvisional(progress);
+  }
   const auto it = Progress.find(progress.Service);
-  if (it == Progress.end()) {
-    if (Progress.size() >= MaxServices) {
-      return false;
-    }
-    Progress.emplace(progress.Service, progress);
-    return true;
+  if (it == Progress.end() && Progress.size() >= MaxServices) {
+    return false;
   }
-  if (progress.Offset <= it->second.Offset) {
+  if (it != Progress.end() && progress.Offset <= it->second.Offset) {
     return false;
   }
-  it->second = progress;
+  Progress[progress.Service] = progress;
+  const auto rollback = Rollbacks.find(progress.Service);
+  if (rollback != Rollbacks.end() &&
+      (isFinal(progress.Phase) ||
+       rollback->second.OrderOffset < progress.OrderOffset)) {
+    Rollbacks.erase(rollback);
+  }
+  return true;
+}
+
+bool VersionPolicy::applyProvisional(const RolloutProgress &progress) {
+  const auto *agreed = this->progress(progress.Service);
+  const auto *known = provisionalRollback(progress.Service);
+  const bool isOver =
+      agreed == nullptr || progress.OrderOffset < agreed->OrderOffset ||
+      (progress.OrderOffset == agreed->OrderOffset && isFinal(agreed->Phase));
+  if (isOver ||
+      (known != nullptr && progress.OrderOffset <= known->OrderOffset)) {
+    return false;
+  }
+  Rollbacks[progress.Service] = progress;
   return true;
 }
 
@@ -58,10 +79,23 @@
   return it == Progress.end() ? nullptr : &it->second;
 }
 
+const RolloutProgress *
+VersionPolicy::provisionalRollback(std::string_view service) const {
+  const auto it = Rollbacks.find(service);
+  return it == Rollbacks.end() ? nullptr : &it->second;
+}
+
+const RolloutProgress *VersionPolicy::inForce(std::string_view service) const {
+  const auto *rollback = provisionalRollback(service);
+  return rollback != nullptr ? rollback : progress(service);
+}
+
 std::vector<RolloutProgress> VersionPolicy::allProgress() const {
   std::vector<RolloutProgress> out;
-  for (const auto &it : Progress) {
-    out.push_back(it.second);
+  for (const auto *from : {&Progress, &Rollbacks}) {
+    for (const auto &it : *from) {
+      out.push_back(it.second);
+    }
   }
   return out;
 }
@@ -77,7 +111,7 @@
 std::uint32_t VersionPolicy::share(std::string_view service,
                                    std::string_view version) const {
   const auto *ordered = order(service);
-  const auto *known = progress(service);
+  const auto *known = inForce(service);
   if (known != nullptr && isRejected(*known, version)) {
     return 0;
   }
@@ -108,7 +142,7 @@
 
 std::optional<VersionPolicy::Split>
 VersionPolicy::split(std::string_view service) const {
-  const auto *known = progress(service);
+  const auto *known = inForce(service);
   if (known == nullptr || known->Phase != RolloutPhase::Running) {
     return std::nullopt;
   }
--- a/src/sidecar/rollout_service.cpp
+++ b/src/sidecar/rollout_service.cpp
@@ -37,8 +37,6 @@
   return progress;
 }
 
-bool isFinal(RolloutPhase phase) { return phase != RolloutPhase::Running; }
-
 } // namespace
 
 RolloutService::RolloutService(Reactor &reactor, PeerNetwork &network,
@@ -68,12 +66,13 @@
                      {{"reason", batch.reason().Message}});
           const auto pause = std::min<Duration>(
               TickInterval * std::min(StoreFailures, 4U), MaxStoreRetryDelay);
-          if (!StreamEnd) {
+          if (!StreamEnd || !PendingCompletions.empty()) {
             Loop.schedule(Loop.now() + pause, [this] { list(); });
           }
           return;
         }
         StoreFailures = 0;
+        PendingCompletions.clear();
         StreamEnd = std::max(StreamEnd.value_or(0), batch->End);
         for (const auto &it : batch->Records) {
           if (const auto progress = decode(it)) {
@@ -95,7 +94,8 @@
               {"target", progress.TargetVersion},
               {"phase", rolloutPhaseName(progress.Phase)},
               {"share", std::uint64_t{progress.ShareBasisPoints}},
-              {"offset", progress.Offset}});
+              {"offset", progress.Offset},
+              {"provisional", progress.Provisional ? "yes" : "no"}});
   Changed();
   return true;
 }
@@ -155,10 +155,15 @@
     return write(*known);
   }
   reportStatus(*known, drive);
-  if (!isFinal(known->Phase)) {
-    collectCounts(order, drive);
-    decide(order, drive);
+  if (isFinal(known->Phase) || PendingCompletions.count(order.Service) > 0) {
+    return;
+  }
+  if (const auto *rollback =
+          Parts.Versions.provisionalRollback(order.Service)) {
+    return write(*rollback);
   }
+  collectCounts(order, drive);
+  decide(order, drive);
 }
 
 RolloutProgress RolloutService::firstProgress(const RolloutOrder &order) const {
@@ -167,7 +172,11 @@
   out.TargetVersion = order.TargetVersion;
   out.OrderOffset = order.Offset;
   out.Elapsed = Clock.elapsed(order, Loop.now());
-  if (const auto *before = Parts.Versions.progress(order.Service)) {
+  const auto *before = Parts.Versions.provisionalRollback(order.Service);
+  if (before == nullptr) {
+    before = Parts.Versions.progress(order.Service);
+  }
+  if (before != nullptr) {
     out.Rejected = before->Rejected;
     out.BaseVersion = before->BaseVersion;
     if (before->Phase == RolloutPhase::RolledBack) {
@@ -274,53 +283,58 @@
        {"elapsed_ms", static_cast<std::uint64_t>(next.Elapsed.count() / 1000)},
        {"evidence", decision.Evidence}});
   if (decision.Action == RolloutAction::RollBack) {
-    // Removing traffic is always safe, so it takes effect before it is written.
-    next.Offset = known.Offset + 1;
-    applyProgress(next);
-    broadcastProgress();
+    return rollBack(std::move(next));
   }
   write(std::move(next));
 }
 
+// Removing traffic is always safe, so it takes effect before it is written.
+void RolloutService::rollBack(RolloutProgress progress) {
+  progress.Provisional = true;
+  applyProgress(progress);
+  broadcastProgress();
+  write(std::move(progress));
+}
+
 void RolloutService::write(RolloutProgress progress) {
   if (Writing || Listing || !StreamEnd || Loop.now() < NextWrite) {
     return;
   }
   Writing = true;
-  const auto at = *StreamEnd;
+  progress.Provisional = false;
+  if (progress.Phase == RolloutPhase::Completed) {
+    PendingCompletions.insert(progress.Service);
+  }
+  progress.Offset = *StreamEnd;
   const auto bytes = encode(progress);
-  Parts.Store.append(
-      KeyedStream::Rollouts, progress.Service, bytes, at,
-      Loop.now() + StoreTimeout,
-      [this, progress, at](const AppendResult &result) mutable {
-        Writing = false;
-        if (result.Outcome == AppendOutcome::Written) {
-          StoreFailures = 0;
-          StreamEnd = at + 1;
-          progress.Offset = at;
-          ConfirmedOffsets[progress.Service] = at;
-          // A rollback already in force has a provisional offset, which may be
-          // greater than that of the record.
-          const auto *known = Parts.Versions.progress(progress.Service);
-          if (known != nullptr && known->Phase == progress.Phase &&
-              known->OrderOffset == progress.OrderOffset &&
-              known->Offset > at) {
-            ConfirmedOffsets[progress.Service] = known->Offset;
-          }
-          applyProgress(progress);
-          return broadcastProgress();
-        }
-        ++StoreFailures;
-        Lines.warn("writing rollout progress to the store failed",
-                   {{"service", progress.Service},
-                    {"error", errorName(result.Failure.Code)},
-                    {"reason", result.Failure.Message}});
-        NextWrite = Loop.now() + std::min<Duration>(
-                                     TickInterval * std::min(StoreFailures, 4U),
-                                     MaxStoreRetryDelay);
-        // Another driver may have written, or this append may have succeeded.
-        list();
-      });
+  Parts.Store.append(KeyedStream::Rollouts, progress.Service, bytes, *StreamEnd,
+                     Loop.now() + StoreTimeout,
+                     [this, progress](const AppendResult &result) {
+                       Writing = false;
+                       onWritten(progress, result);
+                     });
+}
+
+void RolloutService::onWritten(RolloutProgress progress,
+                               const AppendResult &result) {
+  if (result.Outcome == AppendOutcome::Written) {
+    StoreFailures = 0;
+    PendingCompletions.erase(progress.Service);
+    StreamEnd = progress.Offset + 1;
+    ConfirmedOffsets[progress.Service] = progress.Offset;
+    applyProgress(progress);
+    return broadcastProgress();
+  }
+  ++StoreFailures;
+  Lines.warn("writing rollout progress to the store failed",
+             {{"service", progress.Service},
+              {"error", errorName(result.Failure.Code)},
+              {"reason", result.Failure.Message}});
+  NextWrite = Loop.now() +
+              std::min<Duration>(TickInterval * std::min(StoreFailures, 4U),
+                                 MaxStoreRetryDelay);
+  // Another driver may have written, or this append may have succeeded.
+  list();
 }
 
 void RolloutService::reportStatus(const RolloutProgress &progress,
@@ -389,7 +403,7 @@
 std::uint64_t RolloutService::digest() const {
   std::uint64_t out = 0;
   for (const auto &it : Parts.Versions.allProgress()) {
-    out ^= hash64(it.Service, it.Offset + 1);
+    out ^= hash64(it.Service, 2 * it.Offset + (it.Provisional ? 1 : 2));
   }
   return out;
 }
--- a/src/sidecar/rollout_wire.cpp
+++ b/src/sidecar/rollout_wire.cpp
@@ -13,13 +13,16 @@
   to->rejected = from.Rejected;
   to->base_version = from.BaseVersion;
   to->offset = from.Offset;
+  to->provisional = from.Provisional;
   return to;
 }
 
 std::optional<RolloutProgress> fromWire(const wire::RolloutProgressT &from) {
   if (from.service.empty() || from.target_version.empty() ||
       from.phase > static_cast<std::uint8_t>(RolloutPhase::RolledBack) ||
-      from.share_basis_points > FullShare) {
+      from.share_basis_points > FullShare ||
+      (from.provisional &&
+       from.phase != static_cast<std::uint8_t>(RolloutPhase::RolledBack))) {
     return std::nullopt;
   }
   RolloutProgress to;
@@ -32,6 +35,7 @@
   to.Rejected = from.rejected;
   to.BaseVersion = from.base_version;
   to.Offset = from.offset;
+  to.Provisional = from.provisional;
   return to;
 }
 
