Place the progress of rollouts by the era in which it was written

Operators would have seen a rollout's driver fail with 412 for seconds after the store's return, an end that the store no longer had, and, on a host that knew the order only where it was written again, a completed rollout that began anew.

The end of the stream, the confirmation of a record and the order of two steps were offsets of a history that had been replaced.

A record of progress states the era in which its driver wrote it. The end of the stream belongs to an era; a driver that knows of a newer one lists first, writes an end that the store has lost again, and tells the operator again. The first end of an order holds, also against one that a daemon wrote after the return without knowing of it, and keeps the place where it was first written. An order that was lost and is written again stays the same order. A daemon drives only after a second in which its peers tell it what they know.

--- a/include/chivefold/mesh/rollout_driver.h
+++ b/include/chivefold/mesh/rollout_driver.h
@@ -36,10 +36,10 @@
 private:
   /** Latest time at which the order can have been given. */
   struct OrderTime {
-    std::uint64_t OrderOffset = 0;
+    StorePosition Order;
     TimePoint OrderedAt{};
   };
-  void record(const std::string &service, std::uint64_t order,
+  void record(const std::string &service, const StorePosition &order,
               TimePoint orderedAt);
 
   /** Key: service. Bounded by the number of stored orders and progress records.
--- a/include/chivefold/mesh/version_policy.h
+++ b/include/chivefold/mesh/version_policy.h
@@ -33,8 +33,10 @@
 struct RolloutProgress {
   std::string Service;
   std::string TargetVersion;
-  /** Offset of the order that the progress belongs to. */
+  /** Place and content of the order that the progress belongs to. */
   std::uint64_t OrderOffset = 0;
+  std::uint64_t OrderEra = 0;
+  std::uint64_t OrderDigest = 0;
   RolloutPhase Phase = RolloutPhase::Running;
   /** Share of the target version in 1/10,000. */
   std::uint32_t ShareBasisPoints = 0;
@@ -44,10 +46,19 @@
   std::vector<std::string> Rejected;
   /** Version that was completed before this rollout; "" if there is none. */
   std::string BaseVersion;
-  /** Offset of the record in its stream; progress with a lower one is older. */
+  /** Place of the record in its stream, with the era in which its driver wrote
+   * it; of two steps of one order, the one with the lower place is older. */
   std::uint64_t Offset = 0;
+  std::uint64_t Era = 0;
+  /** Where the end was first written; absent if that is this record. The first
+   * end of an order holds, because the operator may have been told of it. */
+  std::optional<StorePosition> FirstEnd;
   /** A rollback that is in force before it is agreed. */
   bool Provisional = false;
+
+  StorePosition position() const { return {Era, Offset}; }
+  StorePosition orderPosition() const { return {OrderEra, OrderOffset}; }
+  StorePosition firstEnd() const { return FirstEnd.value_or(position()); }
 };
 
 /**
@@ -88,6 +99,9 @@
   /** @return the split, or nullopt if no rollout is running. */
   std::optional<Split> split(std::string_view service) const;
 
+  /** @return whether the progress belongs to @p order or to a later one. */
+  bool covers(const RolloutProgress &progress, const RolloutOrder &order) const;
+
   /** @return the agreed progress, or null if there is none. */
   const RolloutProgress *progress(std::string_view service) const;
   /** @return the provisional rollback, or null if there is none. */
@@ -96,6 +110,15 @@
   std::vector<RolloutProgress> allProgress() const;
 
 private:
+  /** Identifies an order across eras. */
+  struct OrderId {
+    StorePosition Place;
+    std::uint64_t Digest = 0;
+  };
+  OrderId orderOf(const RolloutProgress &progress) const;
+  bool isSameOrder(const OrderId &a, const OrderId &b) const;
+  bool supersedes(const RolloutProgress &next,
+                  const RolloutProgress &known) const;
   bool applyProvisional(const RolloutProgress &progress);
   /** @return the progress that decides the shares, or null. */
   const RolloutProgress *inForce(std::string_view service) const;
--- a/include/chivefold/sidecar/rollout_service.h
+++ b/include/chivefold/sidecar/rollout_service.h
@@ -23,7 +23,7 @@
 
 /** Dependencies of RolloutService; all must outlive it. */
 struct RolloutDependencies {
-  KeyedStore &Store;
+  const StoreAccess &Access;
   const PlatformPorts &Ports;
   const OperatorState &Orders;
   const FleetTable &Fleet;
@@ -39,13 +39,18 @@
  * append of one fails, and it reads the progress again. A rollback takes effect
  * and is distributed before it is written, since it is always safe; until then
  * it is provisional and gives way to an end that the store has. The operator is
- * told of an end only when the store has it. Used on the reactor's thread only.
+ * told of an end only when the store has it. An end that the store has lost is
+ * written again, with the status for the operator. Used on the reactor's thread
+ * only.
  */
 class RolloutService {
 public:
   static constexpr Duration TickInterval = std::chrono::milliseconds(200);
   static constexpr Duration StoreTimeout = std::chrono::milliseconds(1000);
   static constexpr Duration StatsTimeout = std::chrono::milliseconds(600);
+  /** Time after the start in which peers tell this host what they know, before
+   * it drives a rollout. */
+  static constexpr Duration PeerExchangeTime = std::chrono::milliseconds(1000);
   /** Maximum delay between retries after store failures. */
   static constexpr Duration MaxStoreRetryDelay = std::chrono::seconds(1);
 
@@ -85,15 +90,26 @@
   /** Rollout order that this daemon controls. */
   struct Drive {
     explicit Drive(const RolloutSettings &settings) : Driver(settings) {}
-    std::uint64_t OrderOffset = 0;
+    StorePosition Order;
     RolloutDriver Driver;
     std::map<Address, HostCounts> Hosts;
     /** Phase last written to the operator's status stream. */
     std::optional<RolloutPhase> ReportedPhase;
+    /** Era of the store when that phase was written. */
+    std::uint64_t ReportedEra = 0;
     bool Reporting = false;
+    /** Progress for which the store was last listed, and the era then. */
+    std::optional<std::pair<StorePosition, std::uint64_t>> Verified;
   };
 
+  /** @return the newest era of the store that this host knows. */
+  std::uint64_t era() const;
+  bool isConfirmed(const RolloutProgress &progress) const;
+  bool verify(const RolloutProgress &known, Drive &drive);
   void list();
+  void onListed(const Result<KeyedBatch> &batch);
+  void recordElapsed(const RolloutProgress &progress);
+  void scheduleNextWrite();
   void tick();
   void driveOrder(const RolloutOrder &order);
   bool isDriver(const std::string &service) const;
@@ -118,10 +134,16 @@
   std::function<void()> Changed;
   OrderClock Clock;
   std::map<std::string, Drive> Drives;
-  /** End offset of the stream as last known; absent until the first listing. */
-  std::optional<std::uint64_t> StreamEnd;
-  /** Offset of the newest record that the store confirmed, by service. */
-  std::map<std::string, std::uint64_t> ConfirmedOffsets;
+  /** End of the stream as last known; absent until the first listing. */
+  std::optional<StorePosition> StreamEnd;
+  /** A record that the store has. */
+  struct Confirmation {
+    StorePosition Record;
+    /** Era of the store when it was seen there. */
+    std::uint64_t Era = 0;
+  };
+  /** Newest record in the store, by service. */
+  std::map<std::string, Confirmation> Confirmed;
   /** Services whose completion is being written, or may have been: nothing else
    * is decided for them until the store answers. */
   std::set<std::string> PendingCompletions;
@@ -130,6 +152,7 @@
   TimePoint NextWrite{};
   std::uint32_t StoreFailures = 0;
   bool Stopped = false;
+  TimePoint StartedAt{};
   Logger Lines{"rollout"};
 };
 
--- a/src/mesh/rollout_driver.cpp
+++ b/src/mesh/rollout_driver.cpp
@@ -14,28 +14,28 @@
 
 } // namespace
 
-void OrderClock::record(const std::string &service, std::uint64_t order,
+void OrderClock::record(const std::string &service, const StorePosition &order,
                         TimePoint orderedAt) {
   auto &known = Orders[service];
-  if (known.OrderedAt == TimePoint{} || known.OrderOffset < order) {
+  if (known.OrderedAt == TimePoint{} || known.Order < order) {
     known = {order, orderedAt};
-  } else if (known.OrderOffset == order) {
+  } else if (known.Order == order) {
     known.OrderedAt = std::min(known.OrderedAt, orderedAt);
   }
 }
 
 void OrderClock::recordOrder(const RolloutOrder &order, TimePoint now) {
-  record(order.Service, order.Offset, now);
+  record(order.Service, order.position(), now);
 }
 
 void OrderClock::recordProgress(const RolloutProgress &progress,
                                 TimePoint now) {
-  record(progress.Service, progress.OrderOffset, now - progress.Elapsed);
+  record(progress.Service, progress.orderPosition(), now - progress.Elapsed);
 }
 
 Duration OrderClock::elapsed(const RolloutOrder &order, TimePoint now) const {
   const auto it = Orders.find(order.Service);
-  return it == Orders.end() || it->second.OrderOffset != order.Offset
+  return it == Orders.end() || it->second.Order != order.position()
              ? Duration::zero()
              : now - it->second.OrderedAt;
 }
--- a/src/mesh/version_policy.cpp
+++ b/src/mesh/version_policy.cpp
@@ -27,27 +27,70 @@
   if (it == Progress.end() && Progress.size() >= MaxServices) {
     return false;
   }
-  if (it != Progress.end() && progress.Offset <= it->second.Offset) {
+  if (it != Progress.end() && !supersedes(progress, it->second)) {
     return false;
   }
   Progress[progress.Service] = progress;
   const auto rollback = Rollbacks.find(progress.Service);
   if (rollback != Rollbacks.end() &&
       (isFinal(progress.Phase) ||
-       rollback->second.OrderOffset < progress.OrderOffset)) {
+       !isSameOrder(orderOf(rollback->second), orderOf(progress)))) {
     Rollbacks.erase(rollback);
   }
   return true;
 }
 
+VersionPolicy::OrderId
+VersionPolicy::orderOf(const RolloutProgress &progress) const {
+  return {Orders.history().place(progress.orderPosition()),
+          progress.OrderDigest};
+}
+
+// An order that the store has lost is written again with the same content, at
+// another place of a later era.
+bool VersionPolicy::isSameOrder(const OrderId &a, const OrderId &b) const {
+  if (a.Place == b.Place) {
+    return true;
+  }
+  const auto &lower = std::min(a.Place, b.Place);
+  return a.Digest == b.Digest && a.Place.Era != b.Place.Era &&
+         (a.Place.Offset == b.Place.Offset || Orders.history().isLost(lower));
+}
+
+bool VersionPolicy::covers(const RolloutProgress &progress,
+                           const RolloutOrder &order) const {
+  const OrderId ordered{Orders.history().place(order.position()), order.Digest};
+  const auto known = orderOf(progress);
+  return isSameOrder(known, ordered) || ordered.Place < known.Place;
+}
+
+bool VersionPolicy::supersedes(const RolloutProgress &next,
+                               const RolloutProgress &known) const {
+  const auto nextOrder = orderOf(next);
+  const auto knownOrder = orderOf(known);
+  if (!isSameOrder(nextOrder, knownOrder)) {
+    return knownOrder.Place < nextOrder.Place;
+  }
+  if (isFinal(next.Phase) != isFinal(known.Phase)) {
+    return isFinal(next.Phase);
+  }
+  if (next.Phase != known.Phase) {
+    return next.firstEnd() < known.firstEnd();
+  }
+  return known.position() < next.position();
+}
+
 bool VersionPolicy::applyProvisional(const RolloutProgress &progress) {
   const auto *agreed = this->progress(progress.Service);
   const auto *known = provisionalRollback(progress.Service);
-  const bool isOver =
-      agreed == nullptr || progress.OrderOffset < agreed->OrderOffset ||
-      (progress.OrderOffset == agreed->OrderOffset && isFinal(agreed->Phase));
-  if (isOver ||
-      (known != nullptr && progress.OrderOffset <= known->OrderOffset)) {
+  const auto isOver = [&](const RolloutProgress &other) {
+    const auto order = orderOf(progress);
+    const auto otherOrder = orderOf(other);
+    return isSameOrder(order, otherOrder) ? isFinal(other.Phase)
+                                          : order.Place < otherOrder.Place;
+  };
+  if (agreed == nullptr || isOver(*agreed) ||
+      (known != nullptr && isOver(*known))) {
     return false;
   }
   Rollbacks[progress.Service] = progress;
@@ -115,8 +158,7 @@
   if (known != nullptr && isRejected(*known, version)) {
     return 0;
   }
-  if (ordered != nullptr &&
-      (known == nullptr || known->OrderOffset < ordered->Offset) &&
+  if (ordered != nullptr && (known == nullptr || !covers(*known, *ordered)) &&
       version == ordered->TargetVersion) {
     return 0;
   }
@@ -147,7 +189,7 @@
     return std::nullopt;
   }
   const auto *ordered = order(service);
-  if (ordered != nullptr && known->OrderOffset < ordered->Offset) {
+  if (ordered != nullptr && !covers(*known, *ordered)) {
     return std::nullopt;
   }
   return Split{known->TargetVersion, known->ShareBasisPoints};
--- a/src/sidecar/history_wire.h
+++ b/src/sidecar/history_wire.h
@@ -22,6 +22,14 @@
                          : EraStart{from->at_least(), from->at_most()};
 }
 
+inline std::unique_ptr<wire::StorePlace> toWire(const StorePosition &from) {
+  return std::make_unique<wire::StorePlace>(from.Era, from.Offset);
+}
+
+inline StorePosition fromWire(const wire::StorePlace &from) {
+  return {from.era(), from.offset()};
+}
+
 } // namespace chivefold
 
 #endif
--- a/src/sidecar/rollout_service.cpp
+++ b/src/sidecar/rollout_service.cpp
@@ -47,62 +47,98 @@
       Self(std::move(self)), Changed(std::move(changed)) {}
 
 void RolloutService::start() {
+  StartedAt = Loop.now();
   list();
   Loop.schedule(Loop.now() + TickInterval, [this] { tick(); });
 }
 
+std::uint64_t RolloutService::era() const {
+  return std::max(Parts.Access.Era.current(), Parts.Orders.end().Era);
+}
+
+bool RolloutService::isConfirmed(const RolloutProgress &progress) const {
+  const auto it = Confirmed.find(progress.Service);
+  return it != Confirmed.end() && it->second.Record == progress.position() &&
+         it->second.Era >= era();
+}
+
 void RolloutService::list() {
   if (Listing) {
     return;
   }
   Listing = true;
-  Parts.Store.list(
+  Parts.Access.Store.list(
       KeyedStream::Rollouts, "", Loop.now() + StoreTimeout,
-      [this](const Result<KeyedBatch> &batch) {
-        Listing = false;
-        if (!batch) {
-          ++StoreFailures;
-          Lines.warn("reading rollout progress from the store failed",
-                     {{"reason", batch.reason().Message}});
-          const auto pause = std::min<Duration>(
-              TickInterval * std::min(StoreFailures, 4U), MaxStoreRetryDelay);
-          if (!StreamEnd || !PendingCompletions.empty()) {
-            Loop.schedule(Loop.now() + pause, [this] { list(); });
-          }
-          return;
-        }
-        StoreFailures = 0;
-        PendingCompletions.clear();
-        StreamEnd = std::max(StreamEnd.value_or(0), batch->End);
-        for (const auto &it : batch->Records) {
-          if (const auto progress = decode(it)) {
-            auto &offset = ConfirmedOffsets[progress->Service];
-            offset = std::max(offset, progress->Offset);
-            applyProgress(*progress);
-          }
-        }
-      });
+      [this](const Result<KeyedBatch> &batch) { onListed(batch); });
+}
+
+void RolloutService::onListed(const Result<KeyedBatch> &batch) {
+  Listing = false;
+  if (!batch) {
+    ++StoreFailures;
+    Lines.warn("reading rollout progress from the store failed",
+               {{"reason", batch.reason().Message}});
+    scheduleNextWrite();
+    if (!StreamEnd || !PendingCompletions.empty()) {
+      Loop.schedule(NextWrite, [this] { list(); });
+    }
+    return;
+  }
+  StoreFailures = 0;
+  PendingCompletions.clear();
+  StreamEnd = std::max(StreamEnd.value_or(StorePosition()),
+                       StorePosition{batch->Era, batch->End});
+  for (const auto &it : batch->Records) {
+    if (const auto progress = decode(it)) {
+      Confirmed[progress->Service] = {progress->position(), batch->Era};
+      applyProgress(*progress);
+    }
+  }
+}
+
+// Delays the next call to the store after a failure.
+void RolloutService::scheduleNextWrite() {
+  NextWrite = Loop.now() +
+              std::min<Duration>(TickInterval * std::min(StoreFailures, 4U),
+                                 MaxStoreRetryDelay);
 }
 
 bool RolloutService::applyProgress(const RolloutProgress &progress) {
   if (!Parts.Versions.apply(progress)) {
     return false;
   }
-  Clock.recordProgress(progress, Loop.now());
+  recordElapsed(progress);
   Lines.info("rollout progress",
              {{"service", progress.Service},
               {"target", progress.TargetVersion},
               {"phase", rolloutPhaseName(progress.Phase)},
               {"share", std::uint64_t{progress.ShareBasisPoints}},
-              {"offset", progress.Offset},
+              {"place", toString(progress.position())},
               {"provisional", progress.Provisional ? "yes" : "no"}});
   Changed();
   return true;
 }
 
+// The order may have another place here than where the progress was written.
+void RolloutService::recordElapsed(const RolloutProgress &progress) {
+  auto step = progress;
+  const auto order = Parts.Orders.rollouts().find(progress.Service);
+  if (order != Parts.Orders.rollouts().end() &&
+      progress.OrderDigest == order->second.Digest &&
+      Parts.Versions.covers(progress, order->second)) {
+    step.OrderEra = order->second.Era;
+    step.OrderOffset = order->second.Offset;
+  }
+  Clock.recordProgress(step, Loop.now());
+}
+
 void RolloutService::ordersChanged() {
   for (const auto &it : Parts.Orders.rollouts()) {
     Clock.recordOrder(it.second, Loop.now());
+    const auto *known = Parts.Versions.progress(it.first);
+    if (known != nullptr && known->orderPosition() != it.second.position()) {
+      recordElapsed(*known);
+    }
   }
 }
 
@@ -133,26 +169,23 @@
 }
 
 void RolloutService::driveOrder(const RolloutOrder &order) {
-  if (!StreamEnd) {
+  if (!StreamEnd || Loop.now() < StartedAt + PeerExchangeTime) {
     return;
   }
   auto &drive = Drives.try_emplace(order.Service, Settings).first->second;
-  if (drive.OrderOffset != order.Offset) {
+  if (drive.Order != order.position()) {
     drive = Drive(Settings);
-    drive.OrderOffset = order.Offset;
+    drive.Order = order.position();
     Lines.info("controlling a rollout", {{"service", order.Service},
                                          {"target", order.TargetVersion},
-                                         {"order", order.Offset}});
+                                         {"order", toString(drive.Order)}});
   }
   const auto *known = Parts.Versions.progress(order.Service);
-  if (known == nullptr || known->OrderOffset < order.Offset) {
+  if (known == nullptr || !Parts.Versions.covers(*known, order)) {
     return write(firstProgress(order));
   }
-  const auto confirmed = ConfirmedOffsets.find(order.Service);
-  const bool written =
-      confirmed != ConfirmedOffsets.end() && confirmed->second >= known->Offset;
-  if (!written && isFinal(known->Phase)) {
-    return write(*known);
+  if (!isConfirmed(*known) && !verify(*known, drive)) {
+    return;
   }
   reportStatus(*known, drive);
   if (isFinal(known->Phase) || PendingCompletions.count(order.Service) > 0) {
@@ -166,11 +199,33 @@
   decide(order, drive);
 }
 
+// Reads whether the store has the known progress, and writes an end again that
+// it has lost. @return whether the rollout may go on meanwhile.
+bool RolloutService::verify(const RolloutProgress &known, Drive &drive) {
+  const std::pair<StorePosition, std::uint64_t> state{known.position(), era()};
+  if (drive.Verified != state) {
+    if (!Listing && !Writing && Loop.now() >= NextWrite) {
+      drive.Verified = state;
+      list();
+    }
+    return !isFinal(known.Phase);
+  }
+  if (Listing || !isFinal(known.Phase)) {
+    return !isFinal(known.Phase);
+  }
+  auto again = known;
+  again.FirstEnd = known.firstEnd();
+  write(std::move(again));
+  return false;
+}
+
 RolloutProgress RolloutService::firstProgress(const RolloutOrder &order) const {
   RolloutProgress out;
   out.Service = order.Service;
   out.TargetVersion = order.TargetVersion;
   out.OrderOffset = order.Offset;
+  out.OrderEra = order.Era;
+  out.OrderDigest = order.Digest;
   out.Elapsed = Clock.elapsed(order, Loop.now());
   const auto *before = Parts.Versions.provisionalRollback(order.Service);
   if (before == nullptr) {
@@ -305,57 +360,62 @@
   if (progress.Phase == RolloutPhase::Completed) {
     PendingCompletions.insert(progress.Service);
   }
-  progress.Offset = *StreamEnd;
+  progress.Era = StreamEnd->Era;
+  progress.Offset = StreamEnd->Offset;
   const auto bytes = encode(progress);
-  Parts.Store.append(KeyedStream::Rollouts, progress.Service, bytes, *StreamEnd,
-                     Loop.now() + StoreTimeout,
-                     [this, progress](const AppendResult &result) {
-                       Writing = false;
-                       onWritten(progress, result);
-                     });
+  Parts.Access.Store.append(KeyedStream::Rollouts, progress.Service, bytes,
+                            progress.Offset, Loop.now() + StoreTimeout,
+                            [this, progress](const AppendResult &result) {
+                              Writing = false;
+                              onWritten(progress, result);
+                            });
 }
 
 void RolloutService::onWritten(RolloutProgress progress,
                                const AppendResult &result) {
-  if (result.Outcome == AppendOutcome::Written) {
+  // A record that was written in a later era than its content states is read
+  // again like one whose answer is lost.
+  if (result.Outcome == AppendOutcome::Written && result.Era == progress.Era) {
     StoreFailures = 0;
     PendingCompletions.erase(progress.Service);
-    StreamEnd = progress.Offset + 1;
-    ConfirmedOffsets[progress.Service] = progress.Offset;
+    StreamEnd = StorePosition{progress.Era, progress.Offset + 1};
+    Confirmed[progress.Service] = {progress.position(), progress.Era};
     applyProgress(progress);
     return broadcastProgress();
   }
   ++StoreFailures;
   Lines.warn("writing rollout progress to the store failed",
              {{"service", progress.Service},
+              {"place", toString(progress.position())},
+              {"era", result.Era},
               {"error", errorName(result.Failure.Code)},
               {"reason", result.Failure.Message}});
-  NextWrite = Loop.now() +
-              std::min<Duration>(TickInterval * std::min(StoreFailures, 4U),
-                                 MaxStoreRetryDelay);
+  scheduleNextWrite();
   // Another driver may have written, or this append may have succeeded.
   list();
 }
 
 void RolloutService::reportStatus(const RolloutProgress &progress,
                                   Drive &drive) {
-  if (drive.Reporting || drive.ReportedPhase == progress.Phase ||
-      Loop.now() < NextWrite) {
+  const bool reported =
+      drive.ReportedPhase == progress.Phase && drive.ReportedEra >= era();
+  if (drive.Reporting || reported || Loop.now() < NextWrite) {
     return;
   }
   drive.Reporting = true;
-  Parts.Store.append(
+  Parts.Access.Store.append(
       KeyedStream::RolloutStatus, Parts.Ports.Statuses.key(progress),
       Parts.Ports.Statuses.encode(progress), std::nullopt,
-      Loop.now() + StoreTimeout, [this, progress](const AppendResult &result) {
+      Loop.now() + StoreTimeout,
+      [this, progress, order = drive.Order](const AppendResult &result) {
         const auto it = Drives.find(progress.Service);
-        if (it == Drives.end() ||
-            it->second.OrderOffset != progress.OrderOffset) {
+        if (it == Drives.end() || it->second.Order != order) {
           return;
         }
         it->second.Reporting = false;
         if (result.Outcome == AppendOutcome::Written) {
           it->second.ReportedPhase = progress.Phase;
+          it->second.ReportedEra = result.Era;
           Lines.info("rollout status written",
                      {{"service", progress.Service},
                       {"phase", rolloutPhaseName(progress.Phase)}});
@@ -403,7 +463,7 @@
 std::uint64_t RolloutService::digest() const {
   std::uint64_t out = 0;
   for (const auto &it : Parts.Versions.allProgress()) {
-    out ^= hash64(it.Service, 2 * it.Offset + (it.Provisional ? 1 : 2));
+    out ^= hash64(it.Service + toString(it.position()), it.Provisional ? 1 : 0);
   }
   return out;
 }
--- a/src/sidecar/rollout_wire.cpp
+++ b/src/sidecar/rollout_wire.cpp
@@ -1,5 +1,7 @@
 #include "rollout_wire.h"
 
+#include "history_wire.h"
+
 namespace chivefold {
 
 std::unique_ptr<wire::RolloutProgressT> toWire(const RolloutProgress &from) {
@@ -13,6 +15,10 @@
   to->rejected = from.Rejected;
   to->base_version = from.BaseVersion;
   to->offset = from.Offset;
+  to->era = from.Era;
+  to->order_era = from.OrderEra;
+  to->order_digest = from.OrderDigest;
+  to->first_end = from.FirstEnd ? toWire(*from.FirstEnd) : nullptr;
   to->provisional = from.Provisional;
   return to;
 }
@@ -35,6 +41,12 @@
   to.Rejected = from.rejected;
   to.BaseVersion = from.base_version;
   to.Offset = from.offset;
+  to.Era = from.era;
+  to.OrderEra = from.order_era;
+  to.OrderDigest = from.order_digest;
+  if (from.first_end) {
+    to.FirstEnd = fromWire(*from.first_end);
+  }
   to.Provisional = from.provisional;
   return to;
 }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -106,7 +106,7 @@
   /** New requests of clients are refused. */
   bool Closed = false;
 
-  const StoreEra &Era;
+  const StoreAccess Store;
   OperatorState Orders;
   VersionPolicy Versions;
   FleetTable Hosts;
@@ -134,7 +134,7 @@
                     const PlatformPorts &ports, const StoreAccess &store,
                     std::uint64_t seed)
     : Loop(reactor), Own(std::move(settings)), Ports(ports), Seeds(seed),
-      BootId(Seeds()), StartedAt(Loop.now()), Era(store.Era),
+      BootId(Seeds()), StartedAt(Loop.now()), Store(store),
       Orders(ports.Orders), Versions(Orders), Hosts(Seeds()),
       Plan(Hosts, Own.PeerListen, Own.DataCentre, Seeds()),
       Readers(Hosts, Own.PeerListen, Own.DataCentre),
@@ -171,7 +171,7 @@
           Loop, {store.Store, Network, Orders, Plan, Readers}, Own.PeerListen,
           [this](const OperatorChange &change) { onOrders(change); }, Seeds()),
       Rollouts(Loop, Network,
-               {store.Store, ports, Orders, Hosts, Servers, Backend, Versions},
+               {Store, ports, Orders, Hosts, Servers, Backend, Versions},
                shortRolloutSettings(Own.Exposure), Own.PeerListen,
                [this] { Servers.refresh(); }),
       Proxy(Loop, Network,
@@ -293,7 +293,7 @@
                               toPrometheus(CallMetrics.report(Loop.now())) +
                                   trafficMetrics(Network) +
                                   limitMetrics(Backend.limitFigures()) +
-                                  eraMetrics(Era, Orders)});
+                                  eraMetrics(Store.Era, Orders)});
   }
   if (request.Path == "/-/ready") {
     return exchange->respond({isReady() ? 200 : 503, {}, ""});
--- a/tests/unit/rollout_service_test.cpp
+++ b/tests/unit/rollout_service_test.cpp
@@ -60,3 +60,59 @@
   CHECK(f.agreedPhase() == RolloutPhase::RolledBack);
   CHECK_FALSE(f.hasTold("completed"));
 }
+
+// Guards against appends that fail for seconds after the store's return, since
+// the end of the new history is lower than the one that the driver knows.
+TEST_CASE("a driver goes on after the store's return", "[rollout_service]") {
+  RolloutFixture f;
+  f.startService();
+  REQUIRE(f.reached(
+      [&] { return f.Store.Streams[KeyedStream::Rollouts].size() >= 2; }));
+  f.Store.restore(1);
+  const auto written = f.Store.Streams[KeyedStream::Rollouts].size();
+  CHECK(f.reached([&] { return f.hasTold("completed"); }));
+  CHECK(f.Store.Streams[KeyedStream::Rollouts].size() > written);
+  CHECK(f.Store.Conflicts <= 1);
+}
+
+// Guards against another outcome than the one that the operator was told, and
+// against an outcome that the store never has again.
+TEST_CASE("an end that the store has lost is written again",
+          "[rollout_service]") {
+  RolloutFixture f;
+  f.startService();
+  REQUIRE(f.reached([&] { return f.hasTold("completed"); }));
+  // From now on the evidence is against the version.
+  f.New.Failing = true;
+  f.Store.restore(1);
+  f.noticeEra();
+  REQUIRE(f.reached([&] {
+    const auto &records = f.Store.Streams[KeyedStream::Rollouts];
+    const auto &statuses = f.Store.Streams[KeyedStream::RolloutStatus];
+    return phaseOf(*records.back().Value) == RolloutPhase::Completed &&
+           statuses.back().Value->find("completed") != std::string::npos;
+  }));
+  CHECK_FALSE(f.hasTold("rolled_back"));
+  CHECK(f.agreedPhase() == RolloutPhase::Completed);
+}
+
+// Guards against a rollout that starts anew because its lost order was written
+// again at another offset.
+TEST_CASE("an order that is written again is not carried out twice",
+          "[rollout_service]") {
+  RolloutFixture f(3);
+  f.startService();
+  REQUIRE(f.reached([&] { return f.hasTold("completed"); }));
+  f.Store.restore(2);
+  f.noticeEra();
+  f.order(9);
+  f.reached([] { return false; }, std::chrono::milliseconds(1000));
+  CHECK(f.agreedPhase() == RolloutPhase::Completed);
+  // A host that started since knows the order only where it stands now.
+  OperatorState orders(f.Records);
+  VersionPolicy versions(orders);
+  orders.apply({"rollout/s", R"({"targetVersion":"v2","durationS":3})", 9, 2});
+  REQUIRE(versions.apply(*f.Versions.progress("s")));
+  CHECK(versions.share("s", "v2") == FullShare);
+  CHECK(versions.share("s", "v1") == 0);
+}
