Tell the operator of an end as soon as the store has it

A completed rollout was reported at the next tick, up to 0.2 s after it was written, and a conflict with the driver of another service, which appends to the same stream, delayed the next try like a failure of the store. A conflict is answered by a listing and no pause; the status follows the record at once.

--- a/src/sidecar/rollout_service.cpp
+++ b/src/sidecar/rollout_service.cpp
@@ -381,16 +381,25 @@
     StreamEnd = StorePosition{progress.Era, progress.Offset + 1};
     Confirmed[progress.Service] = {progress.position(), progress.Era};
     applyProgress(progress);
-    return broadcastProgress();
+    broadcastProgress();
+    const auto drive = Drives.find(progress.Service);
+    if (drive != Drives.end()) {
+      reportStatus(progress, drive->second);
+    }
+    return;
   }
-  ++StoreFailures;
+  // The drivers of other services append to the same stream.
+  const bool conflict = result.Outcome == AppendOutcome::Conflict;
+  StoreFailures += conflict ? 0 : 1;
   Lines.warn("writing rollout progress to the store failed",
              {{"service", progress.Service},
               {"place", toString(progress.position())},
               {"era", result.Era},
               {"error", errorName(result.Failure.Code)},
               {"reason", result.Failure.Message}});
-  scheduleNextWrite();
+  if (!conflict) {
+    scheduleNextWrite();
+  }
   // Another driver may have written, or this append may have succeeded.
   list();
 }
