Write the addresses of hosts again that the store has lost

A host that starts after the store's return lists addresses that may lack all hosts that are up, so that it never finds them.

The hosts that read the store for the others list the addresses after each return, after a random delay, and append the missing ones in one call. So the calls do not grow with the fleet: one or two for each reader. A daemon whose address was lost before its first listing registers again.

Failed before (with the repair switched off): no address is written in 20 s, and a third daemon does not find the two others.

--- a/include/chivefold/sidecar/fleet_service.h
+++ b/include/chivefold/sidecar/fleet_service.h
@@ -8,11 +8,13 @@
 #include "chivefold/io/logging.h"
 #include "chivefold/io/peer_network.h"
 #include "chivefold/mesh/announce_plan.h"
+#include "chivefold/mesh/order_readers.h"
 #include "chivefold/sidecar/ports.h"
 #include "peer_generated.h"
 
 #include <functional>
 #include <random>
+#include <set>
 
 namespace chivefold {
 
@@ -62,6 +64,9 @@
   static constexpr Duration StoreTimeout = std::chrono::milliseconds(1000);
   static constexpr Duration MinStoreRetryDelay = std::chrono::milliseconds(100);
   static constexpr Duration MaxStoreRetryDelay = std::chrono::milliseconds(800);
+  /** Bound of the random delay before addresses are written again, so that few
+   * hosts find the same ones missing. */
+  static constexpr Duration MaxRepairDelay = std::chrono::milliseconds(1500);
 
   using PiggybackProvider = std::function<PiggybackedState()>;
   /** Called when a hello message or an answer to one arrives from @p from. */
@@ -71,8 +76,9 @@
   /** @param own address of this host. @param self returns its current state.
    * @param changed called when the table has changed. The references must
    * outlive this object. */
-  FleetService(Reactor &reactor, PeerNetwork &network, KeyedStore &store,
-               FleetTable &table, AnnouncePlan &plan, Address own,
+  FleetService(Reactor &reactor, PeerNetwork &network, const StoreAccess &store,
+               FleetTable &table, AnnouncePlan &plan,
+               const OrderReaders &readers, Address own,
                std::function<HostState()> self, PiggybackProvider piggybacked,
                HelloObserver onHelloReceived, std::function<void()> changed,
                std::uint64_t seed);
@@ -94,6 +100,10 @@
   void registerSelf();
   void listHosts(const std::string &afterKey);
   void retryStore(const Reason &reason);
+  void onHostsListed(const KeyedBatch &batch);
+  void scheduleRepair();
+  void findMissing(const std::string &afterKey);
+  void writeMissing();
   void probe();
   void sendHello(const Address &peer);
   wire::HelloT makeHello() const;
@@ -110,9 +120,10 @@
 
   Reactor &Loop;
   PeerNetwork &Network;
-  KeyedStore &Store;
+  const StoreAccess Store;
   FleetTable &Table;
   AnnouncePlan &Plan;
+  const OrderReaders &Readers;
   const Address Own;
   std::function<HostState()> Self;
   PiggybackProvider OwnPiggyback;
@@ -125,6 +136,11 @@
   TimePoint NextAddressRequestAt{};
   Duration AddressRequestInterval = MinAddressRequestInterval;
   bool Written = false;
+  /** Era of the store for which its addresses are complete as far as this host
+   * knows. */
+  std::uint64_t RepairedEra = 0;
+  /** Addresses that the store was found to have. */
+  std::set<std::string> Stored;
   std::uint32_t StoreFailures = 0;
   Logger Lines{"fleet"};
 };
--- a/include/chivefold/sidecar/ports.h
+++ b/include/chivefold/sidecar/ports.h
@@ -171,6 +171,12 @@
   virtual void append(KeyedStream stream, const std::string &key,
                       std::string_view value, std::optional<std::uint64_t> at,
                       TimePoint deadline, AppendDone done) = 0;
+
+  /** Appends the keys and values of @p records in one call, all or none.
+   * Precondition: there is a record, and each has a key and a value. */
+  virtual void appendAll(KeyedStream stream,
+                         const std::vector<KeyedRecord> &records,
+                         TimePoint deadline, AppendDone done) = 0;
 };
 
 /** The platform's store and the era of its answers; both must outlive their
--- a/src/sidecar/fleet_service.cpp
+++ b/src/sidecar/fleet_service.cpp
@@ -47,14 +47,14 @@
 } // namespace
 
 FleetService::FleetService(Reactor &reactor, PeerNetwork &network,
-                           KeyedStore &store, FleetTable &table,
-                           AnnouncePlan &plan, Address own,
-                           std::function<HostState()> self,
+                           const StoreAccess &store, FleetTable &table,
+                           AnnouncePlan &plan, const OrderReaders &readers,
+                           Address own, std::function<HostState()> self,
                            PiggybackProvider piggybacked,
                            HelloObserver onHelloReceived,
                            std::function<void()> changed, std::uint64_t seed)
     : Loop(reactor), Network(network), Store(store), Table(table), Plan(plan),
-      Own(std::move(own)), Self(std::move(self)),
+      Readers(readers), Own(std::move(own)), Self(std::move(self)),
       OwnPiggyback(std::move(piggybacked)),
       OnHelloReceived(std::move(onHelloReceived)), Changed(std::move(changed)),
       Random(seed) {}
@@ -67,38 +67,99 @@
 
 void FleetService::registerSelf() {
   const auto self = Self();
-  Store.append(KeyedStream::Hosts, toString(self.Peer), self.DataCentre,
-               std::nullopt, Loop.now() + StoreTimeout,
-               [this](const AppendResult &result) {
-                 if (result.Outcome != AppendOutcome::Written) {
-                   return retryStore(result.Failure);
-                 }
-                 Written = true;
-                 StoreFailures = 0;
-                 listHosts("");
-               });
+  Store.Store.append(KeyedStream::Hosts, toString(self.Peer), self.DataCentre,
+                     std::nullopt, Loop.now() + StoreTimeout,
+                     [this](const AppendResult &result) {
+                       if (result.Outcome != AppendOutcome::Written) {
+                         return retryStore(result.Failure);
+                       }
+                       Written = true;
+                       RepairedEra = result.Era;
+                       StoreFailures = 0;
+                       listHosts("");
+                     });
 }
 
 void FleetService::listHosts(const std::string &afterKey) {
-  Store.list(KeyedStream::Hosts, afterKey, Loop.now() + StoreTimeout,
-             [this](Result<KeyedBatch> batch) {
-               if (!batch) {
-                 return retryStore(batch.reason());
-               }
-               StoreFailures = 0;
-               for (const auto &it : batch->Records) {
-                 const auto peer = parseAddress(it.Key);
-                 if (peer && Table.addAddress(*peer, Loop.now())) {
-                   sendHello(*peer);
-                 }
-               }
-               if (batch->HasMore && !batch->Records.empty()) {
-                 return listHosts(batch->Records.back().Key);
-               }
-               NextAddressRequestAt = Loop.now() + AddressRequestInterval;
-               Lines.info("registered in the store",
-                          {{"hosts", Table.hosts().size()}});
-             });
+  Store.Store.list(KeyedStream::Hosts, afterKey, Loop.now() + StoreTimeout,
+                   [this](const Result<KeyedBatch> &batch) {
+                     if (!batch) {
+                       return retryStore(batch.reason());
+                     }
+                     onHostsListed(*batch);
+                   });
+}
+
+void FleetService::onHostsListed(const KeyedBatch &batch) {
+  StoreFailures = 0;
+  if (batch.Era > RepairedEra) {
+    // No other host may have seen this one's address before it was lost.
+    return registerSelf();
+  }
+  for (const auto &it : batch.Records) {
+    const auto peer = parseAddress(it.Key);
+    if (peer && Table.addAddress(*peer, Loop.now())) {
+      sendHello(*peer);
+    }
+  }
+  if (batch.HasMore && !batch.Records.empty()) {
+    return listHosts(batch.Records.back().Key);
+  }
+  NextAddressRequestAt = Loop.now() + AddressRequestInterval;
+  Lines.info("registered in the store", {{"hosts", Table.hosts().size()}});
+}
+
+// Writes the addresses that the store has lost, if this host reads for others.
+void FleetService::scheduleRepair() {
+  const auto era = Store.Era.current();
+  if (!Written || era <= RepairedEra || !Readers.includesSelf()) {
+    return;
+  }
+  RepairedEra = era;
+  Stored.clear();
+  std::uniform_int_distribution<Duration::rep> delay(0, MaxRepairDelay.count());
+  Loop.schedule(Loop.now() + Duration(delay(Random)),
+                [this] { findMissing(""); });
+}
+
+void FleetService::findMissing(const std::string &afterKey) {
+  Store.Store.list(KeyedStream::Hosts, afterKey, Loop.now() + StoreTimeout,
+                   [this](const Result<KeyedBatch> &batch) {
+                     if (!batch) {
+                       // The next probe round tries again.
+                       RepairedEra = 0;
+                       return;
+                     }
+                     for (const auto &it : batch->Records) {
+                       Stored.insert(it.Key);
+                     }
+                     if (batch->HasMore && !batch->Records.empty()) {
+                       return findMissing(batch->Records.back().Key);
+                     }
+                     writeMissing();
+                   });
+}
+
+void FleetService::writeMissing() {
+  std::vector<KeyedRecord> missing;
+  for (const auto &it : Table.hosts()) {
+    const auto key = toString(it.first);
+    if (it.second.reachable() && Stored.count(key) == 0) {
+      missing.push_back({key, it.second.State.DataCentre});
+    }
+  }
+  Stored.clear();
+  if (missing.empty()) {
+    return;
+  }
+  Lines.warn("the store has lost addresses of hosts; writing them again",
+             {{"era", RepairedEra}, {"hosts", missing.size()}});
+  Store.Store.appendAll(KeyedStream::Hosts, missing, Loop.now() + StoreTimeout,
+                        [this](const AppendResult &result) {
+                          if (result.Outcome != AppendOutcome::Written) {
+                            RepairedEra = 0;
+                          }
+                        });
 }
 
 void FleetService::retryStore(const Reason &reason) {
@@ -124,6 +185,7 @@
 
 void FleetService::probe() {
   Loop.schedule(Loop.now() + ProbeInterval, [this] { probe(); });
+  scheduleRepair();
   const auto now = Loop.now();
   Table.recordContact(Own, now);
   auto due = Table.selectProbeTargets(now);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -150,7 +150,7 @@
               {Own.BackendServer, Own.PeerListen, Own.DataCentre},
               [this] { onServerChanged(); }),
       Fleet(
-          Loop, Network, store.Store, Hosts, Plan, Own.PeerListen,
+          Loop, Network, store, Hosts, Plan, Readers, Own.PeerListen,
           [this] { return self(); },
           [this] {
             return PiggybackedState{
--- a/tests/unit/order_feed_fixture.h
+++ b/tests/unit/order_feed_fixture.h
@@ -95,6 +95,10 @@
               std::string_view /*value*/, std::optional<std::uint64_t> /*at*/,
               TimePoint /*deadline*/, AppendDone /*done*/) override {}
 
+  void appendAll(KeyedStream /*stream*/,
+                 const std::vector<KeyedRecord> & /*records*/,
+                 TimePoint /*deadline*/, AppendDone /*done*/) override {}
+
   bool Down = false;
   std::size_t Reads = 0;
   std::size_t Lists = 0;
--- a/tests/unit/rollout_fixture.h
+++ b/tests/unit/rollout_fixture.h
@@ -65,6 +65,16 @@
                   [done, written] { done(written); });
   }
 
+  void appendAll(KeyedStream stream, const std::vector<KeyedRecord> &records,
+                 TimePoint /*deadline*/, AppendDone done) override {
+    auto &stored = Streams[stream];
+    const auto first = stored.size();
+    for (const auto &it : records) {
+      stored.push_back({it.Key, it.Value, stored.size(), Era});
+    }
+    answer({AppendOutcome::Written, first, Era, {}}, done);
+  }
+
   /** Comes back from a copy that has @p count records of each stream. */
   void restore(std::size_t count) {
     for (auto &it : Streams) {
