Bound what a new request limit takes over from the one before

At most what one more start would leave is carried over now, so that the next request waits for one interval of the new rate at most.

The new test failed before (wait above one interval in each of its falls, e.g. from 60 and 600 to 2 a second) and passes; the tests of limits pass as before.

--- a/src/mesh/request_pacer.cpp
+++ b/src/mesh/request_pacer.cpp
@@ -16,13 +16,20 @@
   const auto rate = std::max(*perSecond, MinRate);
   if (!PerSecond) {
     NextAt = now + BurstTime;
-  } else if (NextAt > now) {
-    // The same number of requests is ahead of an even spacing as before.
-    const auto ahead = static_cast<double>((NextAt - now).count());
-    NextAt =
-        now + Duration(static_cast<Duration::rep>(ahead * *PerSecond / rate));
+    PerSecond = rate;
+    return;
   }
+  const auto before = *PerSecond;
   PerSecond = rate;
+  if (NextAt > now) {
+    // The same number of requests is ahead of an even spacing as before, but
+    // at most what one more start would leave, so that a limit that falls
+    // steeply delays the next request by one interval at most.
+    const auto ahead = static_cast<double>((NextAt - now).count());
+    const auto scaled =
+        Duration(static_cast<Duration::rep>(ahead * before / rate));
+    NextAt = now + std::min(scaled, BurstTime + interval());
+  }
 }
 
 bool RequestPacer::mayStart(TimePoint now) const {
--- a/tests/unit/request_pacer_test.cpp
+++ b/tests/unit/request_pacer_test.cpp
@@ -245,3 +245,30 @@
   CHECK(gate.Starts.size() >= 4);
   CHECK(gate.mostIn4s(0) <= 5);
 }
+
+// Guards against a server that gets nothing for seconds because its limit fell
+// steeply while it was fully used.
+TEST_CASE("a falling limit holds a server back for one interval at most",
+          "[request_pacer]") {
+  constexpr auto burst = milliseconds(70);
+  for (const double before : {60.0, 600.0, 6000.0}) {
+    for (const double after : {20.0, 2.0, 0.5}) {
+      INFO(before << " to " << after << " requests per second");
+      RequestPacer pacer(burst);
+      pacer.setRate(before, at(0));
+      for (std::int64_t ms = 0; ms < 1000; ++ms) {
+        while (pacer.mayStart(at(ms))) {
+          pacer.started(at(ms));
+        }
+      }
+      pacer.setRate(after, at(1000));
+      const auto interval = Duration(static_cast<Duration::rep>(1e6 / after));
+      CHECK(pacer.wait(0, at(1000)) <= interval);
+      // Repeated changes do not add up to more than one request.
+      pacer.started(at(1000));
+      pacer.setRate(after / 2, at(1001));
+      pacer.setRate(after, at(1002));
+      CHECK_FALSE(pacer.mayStart(at(1002)));
+    }
+  }
+}
