Make the order feed's test independent of the machine's speed

"a few hosts read the orders for all" failed once at load 16: hosts of the test get no confirmations, so that after 2.5 s without one they read by themselves, as they should. The check took that for a fault. It now counts the reads of hosts that are no readers and have a recent confirmation, at any time of the test, and still wants each reader to read.

With a wait of MaxUnconfirmed before the check, which made the old test fail, it passes; with every host polling it fails (18 checks).

--- a/tests/unit/order_feed_fixture.h
+++ b/tests/unit/order_feed_fixture.h
@@ -63,6 +63,7 @@
   void read(KeyedStream /*stream*/, std::uint64_t from, TimePoint waitUntil,
             TimePoint /*deadline*/, ReadDone done) override {
     ++Reads;
+    UnneededReads += IsUnneeded && IsUnneeded() ? 1 : 0;
     if (Down || from > Records.size()) {
       return fail(done,
                   Down ? ErrorCode::LogUnavailable : ErrorCode::LogTrimmed);
@@ -102,6 +103,10 @@
   bool Down = false;
   std::size_t Reads = 0;
   std::size_t Lists = 0;
+  /** Whether a read at this moment is one that the host should leave to others,
+   * and how many of those there were. */
+  std::function<bool()> IsUnneeded;
+  std::size_t UnneededReads = 0;
 
 private:
   void fail(const ReadDone &done, ErrorCode code) {
@@ -159,6 +164,9 @@
     Feed.emplace(
         loop, OrderFeedDependencies{Store, Network, State, *Plan, *Readers},
         Network.bound(), [](const OperatorChange &) {}, Seed);
+    Store.IsUnneeded = [this] {
+      return !Readers->includesSelf() && !Feed->mayBeStale();
+    };
     Feed->start();
   }
 
--- a/tests/unit/order_feed_test.cpp
+++ b/tests/unit/order_feed_test.cpp
@@ -11,8 +11,10 @@
   feeds.write(2);
   CHECK(feeds.runUntil([&] { return feeds.knowing(2) == feeds.All.size(); }));
   for (std::size_t i = 0; i < feeds.All.size(); ++i) {
+    // On a slow machine a host may miss its confirmations and read by itself.
     const bool reads = feeds.All[i]->Readers->includesSelf();
-    CHECK((feeds.Stores[i]->Reads > 0) == reads);
+    CHECK((!reads || feeds.Stores[i]->Reads > 0));
+    CHECK(feeds.Stores[i]->UnneededReads == 0);
   }
 }
 
--- a/tests/unit/rollout_fixture.h
+++ b/tests/unit/rollout_fixture.h
@@ -140,7 +140,7 @@
     void answer(const PeerResponder &respond) {
       Counts.Calls += 3;
       Counts.Errors += Failing ? 3 : 0;
-      Counts.LatencySumUs += 3 * 10'000;
+      Counts.LatencySumUs += 30'000;
       Counts.LatencySquareSumMs2 += 3 * 110;
       wire::StatsAnswerT out;
       out.stats = statsToWire({Counts}, Version);
