Test a listing whose pages are of two histories

The in-memory store of the order feed's tests pages its listings. All hosts end with the new history when the store comes back between two pages. The function that logs a new era is named after that.

--- a/include/chivefold/sidecar/order_feed.h
+++ b/include/chivefold/sidecar/order_feed.h
@@ -117,7 +117,7 @@
   void onPolled(const Result<KeyedBatch> &batch);
   void scheduleRetry(const Reason &reason, bool relist);
   void onHistoryReplaced(std::uint64_t era);
-  void enterEra(const StorePosition &before);
+  void reportEra(const StorePosition &before);
   void apply(const std::vector<KeyedRecord> &records);
   void report(const OperatorChange &change);
   void onStoreAnswered();
--- a/src/sidecar/order_feed.cpp
+++ b/src/sidecar/order_feed.cpp
@@ -96,7 +96,7 @@
   ConfirmedAt = Loop.now();
   report(change);
   if (before < end) {
-    enterEra(before);
+    reportEra(before);
     if (!isFirst) {
       notifyPeers(1);
     }
@@ -156,7 +156,7 @@
 }
 
 // Reports a new era of the store.
-void OrderFeed::enterEra(const StorePosition &before) {
+void OrderFeed::reportEra(const StorePosition &before) {
   const auto &end = State.end();
   if (before.Era == end.Era || before == StorePosition{}) {
     return;
@@ -387,7 +387,7 @@
   Complete = true;
   MustList = MustList && State.end().Era == before.Era;
   apply(records);
-  enterEra(before);
+  reportEra(before);
   if (isUpdate) {
     notifyPeers(0);
   }
--- a/tests/unit/order_feed_fixture.h
+++ b/tests/unit/order_feed_fixture.h
@@ -37,26 +37,34 @@
     Lost = false;
   }
 
-  void list(KeyedStream /*stream*/, const std::string & /*afterKey*/,
+  void list(KeyedStream /*stream*/, const std::string &afterKey,
             TimePoint /*deadline*/, ReadDone done) override {
     ++Lists;
     if (Down) {
       return fail(done, ErrorCode::LogUnavailable);
     }
-    Loop.schedule(Loop.now(), [this, done] {
-      KeyedBatch batch;
+    Loop.schedule(Loop.now(), [this, afterKey, done] {
+      std::map<std::string, KeyedRecord> newest;
       for (const auto &it : Records) {
-        const auto isKey = [&](const auto &r) { return r.Key == it.Key; };
-        batch.Records.erase(
-            std::remove_if(batch.Records.begin(), batch.Records.end(), isKey),
-            batch.Records.end());
-        if (it.Value) {
-          batch.Records.push_back(it);
+        newest[it.Key] = it;
+      }
+      KeyedBatch batch;
+      for (auto it = newest.upper_bound(afterKey); it != newest.end(); ++it) {
+        batch.HasMore = batch.Records.size() == PageSize;
+        if (batch.HasMore) {
+          break;
+        }
+        if (it->second.Value) {
+          batch.Records.push_back(it->second);
         }
       }
       batch.End = Records.size();
       batch.Era = Era;
+      const bool hasMore = batch.HasMore;
       done(std::move(batch));
+      if (hasMore && AfterPage) {
+        AfterPage();
+      }
     });
   }
 
@@ -103,6 +111,10 @@
   bool Down = false;
   std::size_t Reads = 0;
   std::size_t Lists = 0;
+  /** Maximum number of records in a page of a listing. */
+  std::size_t PageSize = 500;
+  /** Called after a page that has a next one. */
+  std::function<void()> AfterPage;
   /** Whether a read at this moment is one that the host should leave to others,
    * and how many of those there were. */
   std::function<bool()> IsUnneeded;
--- a/tests/unit/store_restored_test.cpp
+++ b/tests/unit/store_restored_test.cpp
@@ -119,3 +119,36 @@
   feeds.write(8);
   CHECK(allKnow(feeds, 8));
 }
+
+// Guards against a listing whose pages are of two histories.
+TEST_CASE("a listing across a return starts again", "[store_restored]") {
+  Feeds feeds;
+  for (const auto &it : feeds.Stores) {
+    it->write("evacuate/a", "{}");
+    it->write("evacuate/b", "{}");
+    it->PageSize = 1;
+  }
+  feeds.write(2);
+  REQUIRE(allKnow(feeds, 2));
+  std::vector<bool> returned(feeds.Stores.size(), false);
+  for (std::size_t i = 0; i < feeds.Stores.size(); ++i) {
+    auto &store = *feeds.Stores[i];
+    store.AfterPage = [&store, &returned, i] {
+      if (!returned[i]) {
+        returned[i] = true;
+        store.restore(2);
+        store.write("evacuate/b", "{}");
+        store.write("evacuate/a", std::nullopt);
+        store.write("config", configuration(9));
+      }
+    };
+    store.restore(3);
+    store.write("config", configuration(3));
+  }
+  CHECK(allKnow(feeds, 9));
+  CHECK(feeds.runUntil([&] {
+    return std::all_of(feeds.All.begin(), feeds.All.end(), [](const auto &it) {
+      return it->State.isEvacuated("b") && !it->State.isEvacuated("a");
+    });
+  }));
+}
