Report a step only for the order that its driver still controls

Found in the read-through. An order that replaced another while a step of that one was written was given the older order's status, and its own status of the same phase was never told.

--- a/src/sidecar/rollout_service.cpp
+++ b/src/sidecar/rollout_service.cpp
@@ -383,7 +383,9 @@
     applyProgress(progress);
     broadcastProgress();
     const auto drive = Drives.find(progress.Service);
-    if (drive != Drives.end()) {
+    // The order may have been replaced while the record was written.
+    if (drive != Drives.end() &&
+        drive->second.Order == progress.orderPosition()) {
       reportStatus(progress, drive->second);
     }
     return;
--- a/tests/unit/rollout_service_test.cpp
+++ b/tests/unit/rollout_service_test.cpp
@@ -116,3 +116,23 @@
   CHECK(versions.share("s", "v2") == FullShare);
   CHECK(versions.share("s", "v1") == 0);
 }
+
+// Guards against an order whose status the operator never gets, because a late
+// answer to a step of the order before it was reported in its place.
+TEST_CASE("a late step of an older order is not reported for a newer one",
+          "[rollout_service]") {
+  RolloutFixture f;
+  bool held = false;
+  f.Store.Hold = [&](KeyedStream stream, const std::string &) {
+    const bool holds = !held && stream == KeyedStream::Rollouts;
+    held = held || holds;
+    return holds;
+  };
+  f.startService();
+  REQUIRE(f.reached([&] { return held; }));
+  f.Orders.apply(
+      {"rollout/s", R"({"targetVersion":"v3","durationS":9})", 2, f.Store.Era});
+  f.Service.ordersChanged();
+  CHECK(f.reached([&] { return f.hasTold("v3"); }));
+  CHECK_FALSE(f.hasTold("v2"));
+}
