Show that clients that read slowly end the daemon by its memory

Cause: a connection goes on reading requests while its client does not read the answers, and their bytes are not bounded.

--- a/review/standins/lab.h
+++ b/review/standins/lab.h
@@ -755,6 +755,63 @@
   }
 };
 
+/** @return the resident memory of a process. */
+inline std::size_t memoryMb(pid_t pid) {
+  const auto path = "/proc/" + std::to_string(pid) + "/statm";
+  std::FILE *f = std::fopen(path.c_str(), "r");
+  std::size_t pages = 0;
+  if (f != nullptr) {
+    if (std::fscanf(f, "%*u %zu", &pages) != 1) {
+      pages = 0;
+    }
+    std::fclose(f);
+  }
+  return pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE)) >> 20U;
+}
+
+/** The platform's watch over the memory of a process and its restart. */
+class MemoryWatch {
+public:
+  MemoryWatch(Machine &machine, std::size_t limitMb, std::string root)
+      : Target(machine), LimitMb(limitMb), Root(std::move(root)) {}
+
+  void run() {
+    while (!Stopped) {
+      const auto mb = memoryMb(Target.Pid);
+      Peak = std::max(Peak, mb);
+      if (mb > LimitMb) {
+        Log.line("%s: the process uses %zu MB of %zu MB and is killed",
+                 Target.Name.c_str(), mb, LimitMb);
+        ++Ends;
+        Target.stop();
+        sleepMs(300);
+        Target.start(Root);
+      }
+      std::this_thread::sleep_for(std::chrono::microseconds(500));
+    }
+  }
+
+  std::atomic<bool> Stopped{false};
+  std::atomic<int> Ends{0};
+  std::size_t Peak = 0;
+
+private:
+  Machine &Target;
+  std::size_t LimitMb;
+  std::string Root;
+};
+
+/** Keeps the heartbeats of a server going. */
+inline void keepBeating(Beat server, const Machine &machine,
+                        const std::atomic<bool> &stopped) {
+  for (int i = 0; !stopped; ++i) {
+    if (i % 10 == 0) {
+      server.send(machine.Admin);
+    }
+    sleepMs(150);
+  }
+}
+
 /** The store and the machines of a case. */
 struct Deployment {
   const Case &Of;
