--- a/review/standins/lab.h
+++ b/review/standins/lab.h
@@ -734,21 +734,21 @@
   return out.append("\r\nContent-Length: 0\r\n\r\n");
 }
 
-/** Arguments of a case: its folder, the repository and a temporary folder. */
+/** Arguments of a case: its folder, the repository, a temporary folder and
+ * whether the disruption is played. */
 struct Case {
   std::string Folder, Root, Temp;
   bool Trouble = true;
 
   Case(int argc, char **argv) {
-    if (argc != 4) {
-      std::fprintf(stderr, "usage: %s CASE-FOLDER ROOT TEMP\n", argv[0]);
+    if (argc != 5) {
+      std::fprintf(stderr, "usage: %s CASE-FOLDER ROOT TEMP yes|no\n", argv[0]);
       std::exit(2);
     }
     Folder = argv[1];
     Root = argv[2];
     Temp = argv[3];
-    const char *trouble = std::getenv("TROUBLE");
-    Trouble = trouble == nullptr || std::string(trouble) != "0";
+    Trouble = std::string(argv[4]) == "yes";
     ::signal(SIGPIPE, SIG_IGN);
     Log.open(Folder + "/record.txt");
     Log.line("case with%s the disruption", Trouble ? "" : "out");
