Check waiting calls again when their server, version or route changes

Cause: a decision that is taken on admission was used after what it was taken from had changed. reasonToRefuse() ran on arrival only, and send() named the current server where the caller had chosen the one before it. Ruled out: callers that choose the new server (no further attempt of these requests was logged), and a server that ignores the expected instance (it logs 421 and logged none).

Calls of which no byte was sent are now checked whenever the server, the orders or the shares of versions change, and refused at once if they would not be admitted; their callers place them again. A call carries the start of the chosen server and the version of the configuration by which it was routed. The later configuration decides: a gate that is ahead refuses with route-changed, and the caller routes the request again, or waits up to 500 ms for that configuration. Each attempt is routed by the configuration in force, and not made if the route has become at-most-once since an attempt that may have run.

Why this works: the gate is the one place that every request of a server passes, it learns of each of these changes, and nothing of a refused call was sent, so that it may be placed again whatever its kind.

--- a/include/chivefold/core/error.h
+++ b/include/chivefold/core/error.h
@@ -35,6 +35,8 @@
   Declined,
   /** A backend server's stated request limit leaves no room. */
   RateLimited,
+  /** The configuration no longer routes a request to the chosen service. */
+  RouteChanged,
 };
 
 /** @return the lower-case name of @p ec for logs and output. Names do not
--- a/include/chivefold/daemon/call_message.h
+++ b/include/chivefold/daemon/call_message.h
@@ -49,8 +49,13 @@
   bool Repeatable = false;
   /** Sent to the daemon that holds the claim of Key, which decides. */
   bool ToClaimHolder = false;
-  /** Start of the backend server that was chosen, or "". */
+  /** Backend server that was chosen, or "". */
   std::string Instance;
+  /** Identifies the start of that server's process; 0 if unknown. */
+  std::uint64_t ServerStart = 0;
+  /** Version of the configuration by which the caller's daemon routed the
+   * request; 0 if unknown. */
+  std::uint64_t ConfigurationVersion = 0;
   /** Name of the route, for figures. */
   std::string Route;
   /** Service of the host where the request began. */
--- a/include/chivefold/io/http_client.h
+++ b/include/chivefold/io/http_client.h
@@ -88,6 +88,10 @@
   /** Aborts a call, closing its connection, without running its callback. */
   void cancel(HttpCallId id);
 
+  /** Aborts a call like cancel(), unless a byte of its request may have reached
+   * the server. @return whether the call was aborted. */
+  bool cancelUnsent(HttpCallId id);
+
   /** Closes all idle connections, for example when the server was replaced. */
   void closeIdle();
 
--- a/include/chivefold/mesh/mesh_configuration.h
+++ b/include/chivefold/mesh/mesh_configuration.h
@@ -49,6 +49,9 @@
   std::vector<WeightedService> Services;
 };
 
+/** @return whether the route sends requests to @p service. Thread-safe. */
+bool leadsTo(const MeshRoute &route, std::string_view service);
+
 /** A service and the limits of each of its backend servers. */
 struct MeshService {
   std::string Name;
--- a/include/chivefold/mesh/placement.h
+++ b/include/chivefold/mesh/placement.h
@@ -76,6 +76,8 @@
   /** Host of the server; empty if no server can be used. */
   std::optional<Address> Peer;
   std::string Instance;
+  /** Identifies the start of the server's process. */
+  std::uint64_t ServerStart = 0;
   std::string Version;
   /** Expected latency of the chosen server. */
   Duration ExpectedLatency{};
--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -110,7 +110,8 @@
   /** Stops accepting calls before the daemon stops; running calls finish. */
   void startLeaving();
 
-  /** Re-evaluates the gate after the operator's orders have changed. */
+  /** Re-evaluates the gate and the waiting calls after the operator's orders or
+   * the shares of versions have changed. */
   void ordersChanged();
 
   /** @return whether the caller still waits for the answer. Checked before a
@@ -134,6 +135,9 @@
   GateState gate() const;
   LimitFigures limitFigures() const;
   std::size_t openCalls() const { return Calls.size(); }
+  /** @return how many admitted calls were refused before they were sent, since
+   * their server, its version or their route was no longer in use. */
+  std::uint64_t revokedCalls() const { return Revoked; }
 
   /** @return call counts by route for the server's current version. */
   std::vector<KindCounts> counts() const { return Counts.all(); }
@@ -153,6 +157,7 @@
     std::uint64_t ServerStart = 0;
   };
 
+  bool isRouted(const CallMessage &call) const;
   ErrorCode reasonToRefuse(const CallMessage &call) const;
   void refuse(const CallReply &reply, ErrorCode code, Duration retryAfter);
   void send(BackendCallId id);
@@ -166,6 +171,8 @@
   void finish(BackendCallId id, CallResult result,
               std::optional<Duration> latency);
   void drop(const std::vector<GateRequestId> &ids, ErrorCode code);
+  void refuseUnservable();
+  void refuseUnsent(BackendCallId id);
   void runWaiting();
   void armTimer();
   void beginInstance(const ServerReport &report);
@@ -227,6 +234,7 @@
   ServerStatements Statements;
   RateMeter Sent;
   std::uint64_t MalformedLimits = 0;
+  std::uint64_t Revoked = 0;
   Logger Lines{"backend"};
 };
 
--- a/include/chivefold/sidecar/ports.h
+++ b/include/chivefold/sidecar/ports.h
@@ -60,6 +60,8 @@
 public:
   virtual ~RequestProtocol() = default;
   virtual ClientRequest readClient(const HttpRequest &request) const = 0;
+  /** @return the host name by which a request is routed, or "". */
+  virtual std::string_view hostname(const HttpHeaders &fromClient) const = 0;
   /** @return the headers for the server: the client's end-to-end headers plus
    * those that the sidecar sets. */
   virtual HttpHeaders forServer(const HttpHeaders &fromClient,
--- a/include/chivefold/sidecar/proxy_service.h
+++ b/include/chivefold/sidecar/proxy_service.h
@@ -22,6 +22,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace chivefold {
 
@@ -38,11 +39,17 @@
 
 /**
  * Routes each request, chooses a server and retries failed attempts as the
- * policy allows, within the client's deadline and the route's timeout. Used on
- * the reactor's thread only.
+ * policy allows, within the client's deadline and the route's timeout. Each
+ * attempt is routed by the configuration in force when it begins. Used on the
+ * reactor's thread only.
  */
 class ProxyService {
 public:
+  /** Time for which a request waits for a configuration that the daemon beside
+   * a server has and this one has not. Covers a notice and a fetch from a host
+   * of another data centre. */
+  static constexpr Duration MaxOrdersWait = std::chrono::milliseconds(500);
+
   ProxyService(Reactor &reactor, PeerNetwork &network,
                const ProxyDependencies &parts, Address self,
                std::string callerService);
@@ -56,6 +63,10 @@
   /** Sets the service that is stated as the caller of this host's requests. */
   void setCallerService(std::string service);
 
+  /** Sends the requests that wait for a later configuration by the current one.
+   * Call after the operator's orders have changed. */
+  void ordersChanged();
+
   /** Refuses new requests; those in progress continue. */
   void startLeaving() { Leaving = true; }
 
@@ -69,7 +80,12 @@
                       const ClientRequest &client);
   TimePoint inTimeUntil(const MeshRoute &route, const ClientRequest &client,
                         TimePoint now);
+  int unroutedStatus(const std::string &hostname) const;
+  bool updateRoute(Request &request);
+  void setRoute(Request &request, const MeshRoute &route) const;
   void attempt(const RequestPtr &request);
+  void finishUnrouted(const RequestPtr &request);
+  void onRouteChanged(const RequestPtr &request, const CallResult &result);
   void sendTo(const RequestPtr &request, const PlacementChoice &choice);
   void onResult(const RequestPtr &request, CallResult result);
   static AttemptEnd endOf(const CallResult &result);
@@ -78,11 +94,13 @@
   void decide(const RequestPtr &request, CallResult result, AttemptEnd end);
   void deliver(const RequestPtr &request, CallResult result);
   void refuse(const RequestPtr &request, const CallResult &result);
+  void finishUnserved(const RequestPtr &request, const CallResult &result);
   void reportUnknown(const RequestPtr &request);
   void finish(const RequestPtr &request, HttpResponse response,
               Outcome outcome);
   void onDeadline(const RequestPtr &request);
   void abandon(const RequestPtr &request);
+  void cancelTimers(Request &request);
   void stopAttempt(Request &request);
   RetryTokens &tokens(const std::string &service);
 
@@ -93,6 +111,8 @@
   std::string CallerService;
   bool Leaving = false;
   std::unordered_map<Request *, RequestPtr> Open;
+  /** Requests that wait for a later configuration. */
+  std::unordered_set<Request *> AwaitingOrders;
   /** By service; bounded by the services of the configuration. */
   std::map<std::string, RetryTokens, std::less<>> Tokens;
   ServiceSplit Split;
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -5,7 +5,7 @@
 namespace chivefold {
 namespace {
 
-constexpr EnumNames<ErrorCode, 18> ErrorNames{{{
+constexpr EnumNames<ErrorCode, 19> ErrorNames{{{
     {ErrorCode::Ok, "ok"},
     {ErrorCode::InvalidArgument, "invalid-argument"},
     {ErrorCode::InvalidText, "invalid-text"},
@@ -24,6 +24,7 @@
     {ErrorCode::Quarantined, "quarantined"},
     {ErrorCode::Declined, "declined"},
     {ErrorCode::RateLimited, "rate-limited"},
+    {ErrorCode::RouteChanged, "route-changed"},
 }}};
 
 } // namespace
--- a/src/daemon/call_message.cpp
+++ b/src/daemon/call_message.cpp
@@ -126,6 +126,8 @@
   to.repeatable = call.Repeatable;
   to.to_claim_holder = call.ToClaimHolder;
   to.instance = call.Instance;
+  to.server_start = call.ServerStart;
+  to.config_version = call.ConfigurationVersion;
   to.route = call.Route;
   to.caller_service = call.CallerService;
   to.request_id = call.RequestId;
@@ -151,6 +153,8 @@
   call.Repeatable = request.repeatable;
   call.ToClaimHolder = request.to_claim_holder;
   call.Instance = std::move(request.instance);
+  call.ServerStart = request.server_start;
+  call.ConfigurationVersion = request.config_version;
   call.Route = std::move(request.route);
   call.CallerService = std::move(request.caller_service);
   call.RequestId = std::move(request.request_id);
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -318,6 +318,19 @@
   State->runWaiting();
 }
 
+bool HttpClient::cancelUnsent(HttpCallId id) {
+  const auto it = State->Calls.find(static_cast<std::uint64_t>(id));
+  if (it == State->Calls.end()) {
+    return false;
+  }
+  const auto &channel = it->second.Channel;
+  if (channel && channel->sentAny()) {
+    return false;
+  }
+  cancel(id);
+  return true;
+}
+
 void HttpClient::closeIdle() {
   const auto open = State->Channels;
   for (const auto &it : open) {
--- a/src/mesh/mesh_configuration.cpp
+++ b/src/mesh/mesh_configuration.cpp
@@ -26,6 +26,15 @@
   return KindNames[static_cast<std::size_t>(kind)];
 }
 
+bool leadsTo(const MeshRoute &route, std::string_view service) {
+  const bool isOnlyOne = route.Services.size() == 1;
+  return std::any_of(route.Services.begin(), route.Services.end(),
+                     [&](const WeightedService &it) {
+                       return it.Service == service &&
+                              (it.Weight > 0 || isOnlyOne);
+                     });
+}
+
 RouteTable::RouteTable(MeshConfiguration configuration)
     : Configuration(std::move(configuration)) {
   for (std::size_t i = 0; i < Configuration.Routes.size(); ++i) {
--- a/src/mesh/placement.cpp
+++ b/src/mesh/placement.cpp
@@ -308,6 +308,7 @@
   if (chosen != nullptr) {
     out.Peer = chosen->Peer;
     out.Instance = chosen->Server.Instance;
+    out.ServerStart = chosen->Server.Start;
     out.Version = chosen->Server.Version;
   }
   out.RetryAfter = soonest.value_or(NoServerRetryAfter);
--- /dev/null
+++ b/src/sidecar/backend_admission.cpp
@@ -0,0 +1,173 @@
+// Admission of calls at the backend server's gate, and those that wait there.
+#include "chivefold/sidecar/backend_service.h"
+
+namespace chivefold {
+
+// Whether the configuration routes the call to its service. A caller's daemon
+// with the same or a later configuration has determined that.
+bool BackendService::isRouted(const CallMessage &call) const {
+  const auto &table = Orders.routes();
+  if (!table || call.ConfigurationVersion == 0 ||
+      table->configuration().Version <= call.ConfigurationVersion) {
+    return true;
+  }
+  const auto *route =
+      table->find(Ports.Requests.hostname(call.Headers), call.path());
+  return route != nullptr && leadsTo(*route, call.Service);
+}
+
+ErrorCode BackendService::reasonToRefuse(const CallMessage &call) const {
+  if (call.Service != Server.Service ||
+      (!call.Instance.empty() && call.Instance != Server.Instance) ||
+      (call.ServerStart != 0 && call.ServerStart != Server.Start)) {
+    return ErrorCode::NotFound;
+  }
+  if (!isRouted(call)) {
+    return ErrorCode::RouteChanged;
+  }
+  if (!Gate.isOpen() || Versions.share(Server.Service, Server.Version) == 0) {
+    return ErrorCode::NotReady;
+  }
+  return ErrorCode::Ok;
+}
+
+void BackendService::refuse(const CallReply &reply, ErrorCode code,
+                            Duration retryAfter) {
+  auto result = failedCall(Outcome::NotRun, code, 503, retryAfter);
+  result.Gate = gate();
+  reply(std::move(result));
+}
+
+BackendCallId BackendService::run(CallMessage call, CallReply reply,
+                                  CallerWaiting callerWaiting) {
+  const auto id = static_cast<BackendCallId>(++NextCall);
+  const auto reason = reasonToRefuse(call);
+  if (reason != ErrorCode::Ok) {
+    constexpr Duration retryAfter = std::chrono::seconds(1);
+    refuse(reply, reason, retryAfter);
+    return id;
+  }
+  const auto digest = digestOf(call);
+  if (const auto left = Poison.quarantined(digest)) {
+    refuse(reply, ErrorCode::Quarantined, *left);
+    return id;
+  }
+  adoptLimit(call);
+  const auto offer =
+      Gate.admit({id, call.Worth, call.Deadline, call.Route, call.InTimeUntil},
+                 Loop.now());
+  if (offer.Kind == AdmissionKind::Rejected) {
+    refuse(reply, offer.Code, offer.RetryAfter);
+    return id;
+  }
+  call.Instance = Server.Instance;
+  call.ServerStart = Server.Start;
+  auto &entry = Calls[id];
+  entry.Message = std::move(call);
+  entry.Reply = std::move(reply);
+  entry.IsCallerWaiting = std::move(callerWaiting);
+  entry.Digest = digest;
+  if (offer.Kind == AdmissionKind::Run) {
+    send(id);
+  } else {
+    armTimer();
+  }
+  return id;
+}
+
+// Refuses queued calls, none of which has been sent to the server.
+void BackendService::drop(const std::vector<GateRequestId> &ids,
+                          ErrorCode code) {
+  for (const auto id : ids) {
+    const auto it = Calls.find(id);
+    if (it != Calls.end()) {
+      const auto reply = std::move(it->second.Reply);
+      Calls.erase(it);
+      refuse(reply, code, gate().LimitWait);
+    }
+  }
+}
+
+// Refuses the calls that were admitted for a server, version or route that is
+// no longer in use. Those already sent continue.
+void BackendService::refuseUnservable() {
+  std::vector<BackendCallId> ids;
+  for (const auto &it : Calls) {
+    if (reasonToRefuse(it.second.Message) != ErrorCode::Ok) {
+      ids.push_back(it.first);
+    }
+  }
+  for (const auto id : ids) {
+    refuseUnsent(id);
+  }
+}
+
+// Refuses a call that can no longer be served unless it was sent already.
+void BackendService::refuseUnsent(BackendCallId id) {
+  // The reply to another call may have changed the state of this one.
+  const auto it = Calls.find(id);
+  const auto code =
+      it == Calls.end() ? ErrorCode::Ok : reasonToRefuse(it->second.Message);
+  if (code == ErrorCode::Ok) {
+    return;
+  }
+  const auto &call = it->second;
+  if (!Gate.cancel(id)) {
+    if (call.Http != HttpCallId::None && !Client.cancelUnsent(call.Http)) {
+      return;
+    }
+    Gate.finished(id, std::nullopt);
+  }
+  ++Revoked;
+  Lines.info("refused a waiting call that can no longer be served",
+             {{"request", call.Message.RequestId},
+              {"error", errorName(code)},
+              {"service", call.Message.Service},
+              {"instance", call.Message.Instance},
+              {"current_service", Server.Service},
+              {"current_instance", Server.Instance},
+              {"version", call.Message.ConfigurationVersion}});
+  const auto reply = std::move(it->second.Reply);
+  Calls.erase(it);
+  refuse(reply, code, gate().LimitWait);
+}
+
+void BackendService::runWaiting() {
+  const auto now = Loop.now();
+  drop(Gate.expire(now), ErrorCode::DeadlineExceeded);
+  for (const auto id : Gate.start(now)) {
+    const auto it = Calls.find(id);
+    if (it == Calls.end()) {
+      continue;
+    }
+    const auto isCallerWaiting = it->second.IsCallerWaiting;
+    if (isCallerWaiting && !isCallerWaiting()) {
+      cancel(id);
+    }
+    refuseUnsent(id);
+    if (Calls.count(id) > 0) {
+      send(id);
+    }
+  }
+  armTimer();
+}
+
+void BackendService::armTimer() {
+  const auto next = Gate.nextWakeUp(Loop.now());
+  if (!next) {
+    return;
+  }
+  if (Timer != TimerId::None) {
+    if (TimerAt <= *next) {
+      return;
+    }
+    Loop.cancel(Timer);
+  }
+  TimerAt = *next;
+  Timer = Loop.schedule(*next, [this] {
+    Timer = TimerId::None;
+    runWaiting();
+  });
+}
+
+} // namespace chivefold
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -156,68 +156,17 @@
                          !Orders.isEvacuated(DataCentre);
   if (!takesWork) {
     drop(Gate.close(), ErrorCode::NotReady);
+    refuseUnservable();
     return;
   }
   Gate.setCold(service->ColdRate, ColdUntil);
   Gate.open(Server.Slots, service->MaxConnections);
   // One connection per running call, and a few that are being closed.
   Client.setMaxConnections(Server.Slots + std::max(Server.Slots / 4, 2U));
+  refuseUnservable();
   runWaiting();
 }
 
-ErrorCode BackendService::reasonToRefuse(const CallMessage &call) const {
-  if (call.Service != Server.Service ||
-      (!call.Instance.empty() && call.Instance != Server.Instance)) {
-    return ErrorCode::NotFound;
-  }
-  if (!Gate.isOpen() || Versions.share(Server.Service, Server.Version) == 0) {
-    return ErrorCode::NotReady;
-  }
-  return ErrorCode::Ok;
-}
-
-void BackendService::refuse(const CallReply &reply, ErrorCode code,
-                            Duration retryAfter) {
-  auto result = failedCall(Outcome::NotRun, code, 503, retryAfter);
-  result.Gate = gate();
-  reply(std::move(result));
-}
-
-BackendCallId BackendService::run(CallMessage call, CallReply reply,
-                                  CallerWaiting callerWaiting) {
-  const auto id = static_cast<BackendCallId>(++NextCall);
-  const auto reason = reasonToRefuse(call);
-  if (reason != ErrorCode::Ok) {
-    constexpr Duration retryAfter = std::chrono::seconds(1);
-    refuse(reply, reason, retryAfter);
-    return id;
-  }
-  const auto digest = digestOf(call);
-  if (const auto left = Poison.quarantined(digest)) {
-    refuse(reply, ErrorCode::Quarantined, *left);
-    return id;
-  }
-  adoptLimit(call);
-  const auto offer =
-      Gate.admit({id, call.Worth, call.Deadline, call.Route, call.InTimeUntil},
-                 Loop.now());
-  if (offer.Kind == AdmissionKind::Rejected) {
-    refuse(reply, offer.Code, offer.RetryAfter);
-    return id;
-  }
-  auto &entry = Calls[id];
-  entry.Message = std::move(call);
-  entry.Reply = std::move(reply);
-  entry.IsCallerWaiting = std::move(callerWaiting);
-  entry.Digest = digest;
-  if (offer.Kind == AdmissionKind::Run) {
-    send(id);
-  } else {
-    armTimer();
-  }
-  return id;
-}
-
 void BackendService::send(BackendCallId id) {
   auto &call = Calls.at(id);
   const auto now = Loop.now();
@@ -229,7 +178,7 @@
   http.Method = call.Message.Method;
   http.Url = "http://" + toString(Upstream) + call.Message.Target;
   http.Headers = Ports.Requests.forServer(
-      call.Message.Headers, {call.Message.Deadline - now, Server.Instance,
+      call.Message.Headers, {call.Message.Deadline - now, call.Message.Instance,
                              call.Message.CallerService});
   http.Body = std::move(call.Message.Body);
   http.Deadline = call.Message.Deadline + AnswerGrace;
@@ -387,54 +336,4 @@
   runWaiting();
 }
 
-// Refuses queued calls, none of which has been sent to the server.
-void BackendService::drop(const std::vector<GateRequestId> &ids,
-                          ErrorCode code) {
-  for (const auto id : ids) {
-    const auto it = Calls.find(id);
-    if (it != Calls.end()) {
-      const auto reply = std::move(it->second.Reply);
-      Calls.erase(it);
-      refuse(reply, code, gate().LimitWait);
-    }
-  }
-}
-
-void BackendService::runWaiting() {
-  const auto now = Loop.now();
-  drop(Gate.expire(now), ErrorCode::DeadlineExceeded);
-  for (const auto id : Gate.start(now)) {
-    const auto it = Calls.find(id);
-    if (it == Calls.end()) {
-      continue;
-    }
-    const auto isCallerWaiting = it->second.IsCallerWaiting;
-    if (isCallerWaiting && !isCallerWaiting()) {
-      cancel(id);
-    }
-    if (Calls.count(id) > 0) {
-      send(id);
-    }
-  }
-  armTimer();
-}
-
-void BackendService::armTimer() {
-  const auto next = Gate.nextWakeUp(Loop.now());
-  if (!next) {
-    return;
-  }
-  if (Timer != TimerId::None) {
-    if (TimerAt <= *next) {
-      return;
-    }
-    Loop.cancel(Timer);
-  }
-  TimerAt = *next;
-  Timer = Loop.schedule(*next, [this] {
-    Timer = TimerId::None;
-    runWaiting();
-  });
-}
-
 } // namespace chivefold
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -4,6 +4,7 @@
 #include "chivefold/sidecar/refusal.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chivefold {
 
@@ -28,13 +29,16 @@
 
 struct ProxyService::Request {
   std::shared_ptr<HttpExchange> Exchange;
-  /** Keeps the route alive while the configuration changes. */
+  std::string Hostname;
+  /** Configuration of the route, which it keeps alive. */
   std::shared_ptr<const RouteTable> Table;
   const MeshRoute *Route = nullptr;
   CallMessage Call;
   TimePoint ReceivedAt{};
   TimePoint Deadline{};
   TimerId Timer = TimerId::None;
+  /** Ends the wait for a later configuration. */
+  TimerId OrdersTimer = TimerId::None;
   std::vector<Address> Tried;
   std::uint32_t Attempts = 0;
   std::uint32_t Runs = 0;
@@ -60,6 +64,7 @@
 ProxyService::~ProxyService() {
   for (const auto &it : Open) {
     Loop.cancel(it.second->Timer);
+    Loop.cancel(it.second->OrdersTimer);
   }
 }
 
@@ -67,15 +72,22 @@
   CallerService = std::move(service);
 }
 
+// Status of a request without a route. The route may be in a configuration that
+// this daemon has not received yet.
+int ProxyService::unroutedStatus(const std::string &hostname) const {
+  if (!Parts.Orders.routes()) {
+    return 503;
+  }
+  if (hostname.empty()) {
+    return 400;
+  }
+  return Parts.Feed.mayBeStale() ? 503 : 404;
+}
+
 void ProxyService::answerUnrouted(const std::shared_ptr<HttpExchange> &exchange,
                                   const ClientRequest &client) {
   const auto &routes = Parts.Orders.routes();
-  // The route may be in a configuration that this daemon has not received yet.
-  const bool mayCome = Parts.Feed.mayBeStale();
-  const int status = !routes                   ? 503
-                     : client.Hostname.empty() ? 400
-                     : mayCome                 ? 503
-                                               : 404;
+  const int status = unroutedStatus(client.Hostname);
   Lines.info("no matching route",
              {{"request", client.Id},
               {"status", static_cast<std::uint64_t>(status)},
@@ -104,12 +116,13 @@
   }
   auto request = std::make_shared<Request>();
   request->Exchange = exchange;
+  request->Hostname = client.Hostname;
   request->Table = table;
-  request->Route = route;
   request->ReceivedAt = now;
   request->Deadline =
       now + std::min(route->Timeout, client.TimeLeft.value_or(route->Timeout));
   auto &call = request->Call;
+  setRoute(*request, *route);
   call.Service = Split.choose(*route);
   call.Method = received.Method;
   call.Target = pathAndQuery(received);
@@ -117,9 +130,6 @@
   call.Body = received.Body;
   call.Deadline = request->Deadline;
   call.InTimeUntil = inTimeUntil(*route, client, now);
-  call.Worth = route->Priority;
-  call.Repeatable = route->Kind == RequestKind::Idempotent;
-  call.Route = route->Name;
   call.CallerService = CallerService;
   call.RequestId = client.Id;
   const auto quarantine = Parts.Poison.isEmpty()
@@ -161,7 +171,44 @@
   return Tokens.try_emplace(service, Loop.now()).first->second;
 }
 
+void ProxyService::setRoute(Request &request, const MeshRoute &route) const {
+  request.Route = &route;
+  auto &call = request.Call;
+  call.Worth = route.Priority;
+  call.Repeatable = route.Kind == RequestKind::Idempotent;
+  call.Route = route.Name;
+  call.ConfigurationVersion = request.Table->configuration().Version;
+}
+
+// Routes a request again if the configuration has changed since. Deadline and
+// target latency stay. @return false if it no longer has a route.
+bool ProxyService::updateRoute(Request &request) {
+  const auto &table = Parts.Orders.routes();
+  if (table == request.Table) {
+    return true;
+  }
+  const auto *route = table->find(request.Hostname, request.Call.path());
+  if (route == nullptr) {
+    return false;
+  }
+  request.Table = table;
+  setRoute(request, *route);
+  if (!leadsTo(*route, request.Call.Service)) {
+    request.Call.Service = Split.choose(*route);
+    request.Tried.clear();
+  }
+  return true;
+}
+
 void ProxyService::attempt(const RequestPtr &request) {
+  if (!updateRoute(*request)) {
+    return finishUnrouted(request);
+  }
+  // The route may permit fewer runs than it did at the last attempt.
+  if (request->Runs > 0 && (request->Route->Kind == RequestKind::AtMostOnce ||
+                            request->Runs >= request->Route->MaxAttempts)) {
+    return reportUnknown(request);
+  }
   const auto now = Loop.now();
   PlacementRequest wanted;
   wanted.Service = request->Call.Service;
@@ -186,6 +233,7 @@
   request->AttemptAt = Loop.now();
   request->InProgress = true;
   request->Call.Instance = choice.Instance;
+  request->Call.ServerStart = choice.ServerStart;
   request->Call.KnownLimit = Parts.Servers.knownLimit(*choice.Peer);
   Parts.Servers.started(*choice.Peer);
   const std::weak_ptr<Request> weak = request;
@@ -243,9 +291,54 @@
   request->LocalCall = BackendCallId::None;
   const auto end = endOf(result);
   updatePlacement(*request, result, end);
+  if (end == AttemptEnd::RefusedByGate &&
+      result.Code == ErrorCode::RouteChanged) {
+    return onRouteChanged(request, result);
+  }
   decide(request, std::move(result), end);
 }
 
+// The daemon beside the server has a configuration that routes the request
+// elsewhere. If it is later than that of this daemon, the request waits for it.
+void ProxyService::onRouteChanged(const RequestPtr &request,
+                                  const CallResult &result) {
+  if (request->Attempts >= AttemptPolicy::MaxAttempts) {
+    return decide(request, result, AttemptEnd::RefusedByGate);
+  }
+  // The refusal says nothing about the server.
+  request->Tried.pop_back();
+  if (Parts.Orders.routes() != request->Table) {
+    return attempt(request);
+  }
+  Lines.info("waiting for a configuration that another daemon has",
+             {{"request", request->Call.RequestId},
+              {"route", request->Route->Name},
+              {"host", toString(request->Peer)},
+              {"version", request->Table->configuration().Version}});
+  AwaitingOrders.insert(request.get());
+  const std::weak_ptr<Request> weak = request;
+  request->OrdersTimer =
+      Loop.schedule(Loop.now() + MaxOrdersWait, [this, weak] {
+        const auto open = weak.lock();
+        if (open && !open->Done) {
+          finishUnserved(open, {});
+        }
+      });
+}
+
+void ProxyService::ordersChanged() {
+  const auto waiting = std::exchange(AwaitingOrders, {});
+  for (auto *const it : waiting) {
+    // The attempt of another request may have ended this one.
+    const auto open = Open.find(it);
+    if (open != Open.end() && it->OrdersTimer != TimerId::None) {
+      Loop.cancel(it->OrdersTimer);
+      it->OrdersTimer = TimerId::None;
+      attempt(RequestPtr(open->second));
+    }
+  }
+}
+
 void ProxyService::updatePlacement(Request &request, const CallResult &result,
                                    AttemptEnd end) {
   const auto now = Loop.now();
@@ -263,6 +356,10 @@
                      result.Gate, now);
     break;
   case AttemptEnd::RefusedByGate:
+    if (result.Code == ErrorCode::RouteChanged) {
+      servers.cancelled(request.Peer);
+      break;
+    }
     servers.refused(request.Peer, result.Gate, request.Route->Priority,
                     result.RetryAfter, now);
     break;
@@ -346,6 +443,26 @@
   finish(request, refusal(503, after), Outcome::NotRun);
 }
 
+// Ends a request that cannot be sent any more.
+void ProxyService::finishUnserved(const RequestPtr &request,
+                                  const CallResult &result) {
+  return request->Runs > 0 ? reportUnknown(request) : refuse(request, result);
+}
+
+// Ends a request that the configuration in force does not route.
+void ProxyService::finishUnrouted(const RequestPtr &request) {
+  const int status = unroutedStatus(request->Hostname);
+  Lines.info("the configuration no longer routes a request",
+             {{"request", request->Call.RequestId},
+              {"route", request->Route->Name},
+              {"status", static_cast<std::uint64_t>(status)},
+              {"version", Parts.Orders.routes()->configuration().Version}});
+  if (request->Runs > 0 || status == 503) {
+    return finishUnserved(request, {});
+  }
+  finish(request, {status, {}, ""}, Outcome::NotRun);
+}
+
 void ProxyService::reportUnknown(const RequestPtr &request) {
   if (request->ErrorAnswer) {
     return deliver(request, std::move(*request->ErrorAnswer));
@@ -388,6 +505,14 @@
   }
 }
 
+void ProxyService::cancelTimers(Request &request) {
+  AwaitingOrders.erase(&request);
+  for (auto *it : {&request.Timer, &request.OrdersTimer}) {
+    Loop.cancel(*it);
+    *it = TimerId::None;
+  }
+}
+
 void ProxyService::abandon(const RequestPtr &request) {
   if (request->Done) {
     return;
@@ -397,7 +522,7 @@
     Parts.Servers.cancelled(request->Peer);
   }
   stopAttempt(*request);
-  Loop.cancel(request->Timer);
+  cancelTimers(*request);
   Lines.info("client disconnected",
              {{"request", request->Call.RequestId},
               {"route", request->Route->Name},
@@ -408,7 +533,7 @@
 void ProxyService::finish(const RequestPtr &request, HttpResponse response,
                           Outcome outcome) {
   request->Done = true;
-  Loop.cancel(request->Timer);
+  cancelTimers(*request);
   const auto now = Loop.now();
   const auto held = now - request->ReceivedAt;
   CallSample sample;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -59,6 +59,12 @@
   return out;
 }
 
+// Calls that were refused after their admission in the Prometheus text format.
+std::string revokedMetrics(const BackendService &backend) {
+  return "chivefold_calls_revoked_total " +
+         std::to_string(backend.revokedCalls()) + "\n";
+}
+
 // Eras of the store in the Prometheus text format.
 std::string eraMetrics(const StoreEra &era, const OperatorState &orders) {
   const auto &counts = era.counters();
@@ -87,6 +93,7 @@
   void onCall(wire::CallRequestT &request, const PeerResponder &respond);
   void onCancel(std::uint64_t token);
   void onOrders(const OperatorChange &change);
+  void onSharesChanged();
   void onServerChanged();
   void onAdmin(const std::shared_ptr<HttpExchange> &exchange);
   void onReport(const std::shared_ptr<HttpExchange> &exchange);
@@ -173,7 +180,7 @@
       Rollouts(Loop, Network,
                {Store, ports, Orders, Hosts, Servers, Backend, Versions},
                shortRolloutSettings(Own.Exposure), Own.PeerListen,
-               [this] { Servers.refresh(); }),
+               [this] { onSharesChanged(); }),
       Proxy(Loop, Network,
             {ports, Orders, Feed, Servers, Backend, Poison, CallMetrics},
             Own.PeerListen, Own.Service),
@@ -223,8 +230,15 @@
                             limits.HeaderTimeout, limits.IdleTimeout});
   }
   Rollouts.ordersChanged();
+  Servers.refresh();
+  // Calls that these refuse are sent again by the new orders at once.
   Backend.ordersChanged();
+  Proxy.ordersChanged();
+}
+
+void Sidecar::Impl::onSharesChanged() {
   Servers.refresh();
+  Backend.ordersChanged();
 }
 
 void Sidecar::Impl::onFrame(wire::FrameBodyUnion &body,
@@ -288,12 +302,12 @@
     break;
   }
   if (request.Path == "/-/metrics") {
-    return exchange->respond({200,
-                              {{"Content-Type", "text/plain"}},
-                              toPrometheus(CallMetrics.report(Loop.now())) +
-                                  trafficMetrics(Network) +
-                                  limitMetrics(Backend.limitFigures()) +
-                                  eraMetrics(Store.Era, Orders)});
+    return exchange->respond(
+        {200,
+         {{"Content-Type", "text/plain"}},
+         toPrometheus(CallMetrics.report(Loop.now())) +
+             trafficMetrics(Network) + limitMetrics(Backend.limitFigures()) +
+             revokedMetrics(Backend) + eraMetrics(Store.Era, Orders)});
   }
   if (request.Path == "/-/ready") {
     return exchange->respond({isReady() ? 200 : 503, {}, ""});
