Treat the end after a failed write as a reset

Cause: the reactor dispatches writes before reads. While a long request is being written, send() meets the reset and takes the socket's error; the recv() behind it then returns 0 like an orderly end, which completes an answer without a length. Ruled out: that any end completes it (with a short request the same reset is reported) and that another event does (only onEnd() can).

A channel now remembers that a write of the exchange failed and takes an end after that for a reset. What came whole before the reset is still delivered.

--- a/src/io/http_channel.cpp
+++ b/src/io/http_channel.cpp
@@ -109,6 +109,7 @@
   Output = std::move(bytes);
   Written = 0;
   Input.clear();
+  WriteFailed = false;
   Received = 0;
   Skipped = 0;
   ++Exchanges;
@@ -151,6 +152,7 @@
     ConnectTimer = TimerId::None;
   }
   if (!sendAvailable(Fd, Output, Written)) {
+    WriteFailed = true;
     // A response that refuses the request may have come before the reset.
     return receive();
   }
@@ -179,7 +181,7 @@
     return;
   }
   if (n <= 0) {
-    return onEnd(n < 0);
+    return onEnd(n < 0 || WriteFailed);
   }
   if (!Busy) {
     close();
--- a/src/io/http_channel.h
+++ b/src/io/http_channel.h
@@ -83,6 +83,10 @@
   bool Busy = false;
   std::string Output;
   std::size_t Written = 0;
+  /** A write of this exchange failed because the connection was reset. That
+   * consumed the error of the socket, so that the next read reports an orderly
+   * end in its place. */
+  bool WriteFailed = false;
   std::string Input;
   std::optional<Parser> Current;
   bool Head = false;
--- a/tests/unit/raw_socket.h
+++ b/tests/unit/raw_socket.h
@@ -103,6 +103,14 @@
   }
   /** Ends a blocking accept in another thread. */
   void shutDown() const { shutdown(Fd, SHUT_RDWR); }
+  /** Ends the sending direction; the other one stays open. */
+  void endOutput() const { shutdown(Fd, SHUT_WR); }
+  /** Closes with a reset in place of an orderly end. */
+  void abort() {
+    const linger hard{1, 0};
+    setsockopt(Fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    reset();
+  }
   void reset() {
     if (Fd >= 0) {
       close(Fd);
