Close connections on which a response to another request arrived

From the reports: a faulty server writes an earlier refusal once more. A test of 28 combinations (moment, id, status, packets, interim responses) found none that was taken for the refusal of the next request, before or after this change. Two gaps of the same class failed their tests before and pass now:

- The connection stayed in use after a foreign response had been skipped, so that a server that repeats its answers could go on with the next request.
- A request without an id took any response for its own.
It now has a connection of its own and accepts only a response without an id.

Ruled out by the test: refusals while the connection is idle (it is closed), with another id (skipped), without one on a kept connection (skipped), while the request is written (the outcome is unknown).

Test: stale_refusal_test, 205 assertions; before the change 2 of 3 cases fail.

--- a/src/io/http_channel.cpp
+++ b/src/io/http_channel.cpp
@@ -268,12 +268,13 @@
 }
 
 void HttpChannel::succeed() {
-  const bool framed = !Current->need_eof();
-  const bool reusable =
-      framed && Current->get().keep_alive() && Written == Output.size();
+  const bool mayContinue = !Current->need_eof() &&
+                           Current->get().keep_alive() &&
+                           Written == Output.size();
   auto response = takeResponse();
   if (Accepts && !Accepts(response, Exchanges == 1)) {
-    if (!reusable) {
+    ReceivedForeign = true;
+    if (!mayContinue) {
       return fail(ErrorCode::ConnectionFailed,
                   "the response belongs to another request");
     }
@@ -284,7 +285,7 @@
   UsedAt = Loop.now();
   ReusableUntil = UsedAt + keepAliveOf(response);
   // Bytes behind a complete response belong to no request.
-  if (!reusable || !Input.empty()) {
+  if (!mayContinue || ReceivedForeign || !Input.empty()) {
     close();
   }
   Output.clear();
--- a/src/io/http_channel.h
+++ b/src/io/http_channel.h
@@ -97,6 +97,9 @@
   std::size_t Received = 0;
   unsigned Skipped = 0;
   unsigned Exchanges = 0;
+  /** A response to another request arrived. Further ones may follow, so the
+   * connection is not reused. */
+  bool ReceivedForeign = false;
   TimerId ConnectTimer = TimerId::None;
 };
 
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -187,11 +187,13 @@
     http.ReuseUsedSince = now - MaxReuseIdleTime;
   }
   // An answer without a request ID is accepted only as the first one on its
-  // connection; otherwise it may be a late answer to an earlier request.
+  // connection; otherwise it may be a late answer to an earlier request. A
+  // request without an ID cannot be told from others, so it is the first.
+  http.FreshConnection = call.Message.RequestId.empty();
   http.Accepts = [this, wanted = call.Message.RequestId](const auto &r,
                                                          bool isFirst) {
     const auto got = Ports.Requests.readServer(r).RequestId;
-    return wanted.empty() || got == wanted || (got.empty() && isFirst);
+    return got.empty() ? isFirst : got == wanted;
   };
   call.Http = Client.start(std::move(http), [this, id](HttpOutcome outcome) {
     onOutcome(id, std::move(outcome));
