Let no foreign report take a live server out for good

Cause: report() took every report of another instance for a new server at the address, and remembered the one before it as ended for good. Ruled out: that the live server counted as older, since the log gives "the reported instance has ended" as the reason.

A report of a service that is not in the configuration replaces no server, unless the current one is silent. A start that was replaced by another one's report is kept apart from those that shut down or drain: its reports count again once its successor has been silent for 3.5 s. That works since a live server goes on reporting and a foreign report does not, and delayed reports arrive while the successor reports.

--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -74,8 +74,9 @@
    * that may run at most once: the server may have closed it already. */
   static constexpr Duration MaxReuseIdleTime = std::chrono::seconds(2);
 
-  /** A server whose stated start time is earlier than that of the current one
-   * replaces it only if the current one has not reported for this time, which
+  /** A server whose stated start time is earlier than that of the current one,
+   * that was replaced before, or whose service is not in the configuration,
+   * replaces the current one only if that has not reported for this time, which
    * exceeds two report intervals. */
   static constexpr Duration ReplaceAfterSilence =
       std::chrono::milliseconds(3500);
@@ -182,7 +183,9 @@
   void recordInterruption(const Call &call, const CallResult &result);
   void reportCrash();
   void count(const Call &call, const CallResult &result, Duration latency);
+  std::string objectionTo(const ServerReport &report) const;
   bool replacesSilentServer(const ServerReport &report);
+  void replaceCurrentInstance(const ServerReport &report);
   void endCurrentInstance();
 
   Reactor &Loop;
@@ -220,7 +223,11 @@
   bool Leaving = false;
   std::uint32_t UnansweredCalls = 0;
   TimePoint AnsweredAt{};
+  /** Starts that shut down. */
   std::deque<Start> EndedStarts;
+  /** Starts in whose place another one reported. */
+  std::deque<Start> ReplacedStarts;
+  static void remember(std::deque<Start> &starts, Start start);
   SlotGate Gate;
   std::unordered_map<BackendCallId, Call> Calls;
   std::uint64_t NextCall = 0;
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -40,12 +40,13 @@
       EndedStarts.end()) {
     return Reason{ErrorCode::Conflict, "the reported instance has ended"};
   }
-  const bool older =
-      StartedAtMs && report.StartedAtMs && *report.StartedAtMs < *StartedAtMs;
-  if (older && !replacesSilentServer(report)) {
-    return Reason{ErrorCode::Conflict, "a newer instance has already reported"};
-  }
   const bool sameStart = start == Start{Server.Instance, StartedAtMs};
+  if (!sameStart) {
+    const auto objection = objectionTo(report);
+    if (!objection.empty() && !replacesSilentServer(report)) {
+      return Reason{ErrorCode::Conflict, objection};
+    }
+  }
   if (sameStart && report.Sequence <= Sequence) {
     return Reason{ErrorCode::Conflict, "a report with the same or a higher "
                                        "sequence number was already received"};
@@ -84,10 +85,29 @@
   return Done{};
 }
 
+// Returns why a report of another start may not come from the server that now
+// has the address; "" if nothing speaks against it.
+std::string BackendService::objectionTo(const ServerReport &report) const {
+  const Start start{report.State.Instance, report.StartedAtMs};
+  if (std::find(ReplacedStarts.begin(), ReplacedStarts.end(), start) !=
+      ReplacedStarts.end()) {
+    return "another instance has replaced the reported one";
+  }
+  if (StartedAtMs && report.StartedAtMs && *report.StartedAtMs < *StartedAtMs) {
+    return "a newer instance has already reported";
+  }
+  if (Orders.routes() &&
+      Orders.routes()->service(report.State.Service) == nullptr) {
+    return "the configuration does not contain the reported service";
+  }
+  return "";
+}
+
 // After a backward step of the host's clock, a new server states an earlier
 // start time than its predecessor. Late reports from an ended server also state
 // an earlier time, but they are few and arrive while the current server is
-// still reporting.
+// still reporting. So are reports that another writer made in the name of a
+// server: they cannot keep the server of this host out.
 bool BackendService::replacesSilentServer(const ServerReport &report) {
   const auto now = Loop.now();
   const Start start{report.State.Instance, report.StartedAtMs};
@@ -110,7 +130,7 @@
     reportCrash();
   }
   Interrupted.clear();
-  endCurrentInstance();
+  replaceCurrentInstance(report);
   StartedAtMs = report.StartedAtMs;
   Statements.reset(startOf(report));
   applyRequestLimit();
@@ -119,12 +139,32 @@
   Counts.setVersion(report.State.Version);
 }
 
+void BackendService::remember(std::deque<Start> &starts, Start start) {
+  starts.push_back(std::move(start));
+  if (starts.size() > MaxEndedStarts) {
+    starts.pop_front();
+  }
+}
+
+// A start that announced its end has ended for good. Another one may live, and
+// its reports count again once its successor is silent.
+void BackendService::replaceCurrentInstance(const ServerReport &report) {
+  const Start next{report.State.Instance, report.StartedAtMs};
+  ReplacedStarts.erase(
+      std::remove(ReplacedStarts.begin(), ReplacedStarts.end(), next),
+      ReplacedStarts.end());
+  if (Server.Phase == ServerPhase::Draining) {
+    return endCurrentInstance();
+  }
+  if (!Server.Instance.empty()) {
+    remember(ReplacedStarts, {Server.Instance, StartedAtMs});
+  }
+  Server = {};
+}
+
 void BackendService::endCurrentInstance() {
   if (!Server.Instance.empty()) {
-    EndedStarts.push_back({Server.Instance, StartedAtMs});
-    if (EndedStarts.size() > MaxEndedStarts) {
-      EndedStarts.pop_front();
-    }
+    remember(EndedStarts, {Server.Instance, StartedAtMs});
   }
   Server = {};
 }
--- a/tests/unit/backend_service_test.cpp
+++ b/tests/unit/backend_service_test.cpp
@@ -220,3 +220,51 @@
   call(false);
   CHECK(f.Backend.gate().Limit == 0);
 }
+
+// Guards against one report of another writer, for a service that no
+// configuration names, that takes a live server out until its daemon restarts
+// (review/5).
+TEST_CASE("a report for an unknown service replaces no server", "[backend]") {
+  BackendFixture f;
+  f.configure();
+  auto foreign = f.report("other", 20, 1);
+  foreign.State.Service = "no-such-service";
+  // Nor does it take the place of a server that has not reported yet.
+  CHECK_FALSE(f.Backend.report(foreign));
+  REQUIRE(f.Backend.report(f.report("i", 10, 1)));
+  for (std::uint64_t n = 2; n < 6; ++n) {
+    foreign.Sequence = n;
+    CHECK_FALSE(f.Backend.report(foreign));
+    CHECK(f.Backend.server().Instance == "i");
+    CHECK(f.Backend.gate().Limit > 0);
+    CHECK(f.Backend.report(f.report("i", 10, n)));
+  }
+}
+
+// Guards against a live server that is ignored for good after one report of
+// another writer in the name of its service, and against a server that has
+// announced its end and is used again.
+TEST_CASE("a replaced server that goes on reporting returns", "[backend]") {
+  BackendFixture f;
+  f.configure();
+  REQUIRE(f.Backend.report(f.report("i", 10, 1)));
+  REQUIRE(f.Backend.report(f.report("foreign", 20, 1)));
+  REQUIRE(f.Backend.report(f.report("foreign", 20, 2)));
+  const auto began = f.Loop.now();
+  std::uint64_t sequence = 1;
+  while (f.Backend.server().Instance != "i" &&
+         f.Loop.now() < began + std::chrono::seconds(8)) {
+    const auto wait = f.Loop.now() + std::chrono::milliseconds(500);
+    runUntil(f.Loop, [&] { return f.Loop.now() >= wait; });
+    const auto taken = f.Backend.report(f.report("i", 10, ++sequence));
+    CHECK(static_cast<bool>(taken) == (f.Backend.server().Instance == "i"));
+  }
+  CHECK(f.Backend.server().Instance == "i");
+  CHECK(f.Loop.now() >= began + BackendService::ReplaceAfterSilence);
+
+  REQUIRE(
+      f.Backend.report(f.report("i", 10, ++sequence, ServerPhase::Draining)));
+  REQUIRE(f.Backend.report(f.report("next", 30, 1)));
+  const auto ended = f.Backend.report(f.report("i", 10, ++sequence));
+  CHECK(ended.reason().Message == "the reported instance has ended");
+}
