Keep requests open until their answers are written

Cause: the stop waits for open requests, and a request no longer counted once its answer was moved to the output of its connection. Ruled out: the end of the grace period, and requests still running; the line "stopped" has open_requests=0.

A request now counts until its answer is written in full or its connection is closed. That works since the stop asks for nothing else, and it stays bounded by the grace period.

--- a/include/chivefold/io/http_server.h
+++ b/include/chivefold/io/http_server.h
@@ -78,8 +78,8 @@
    * on, and their answers close their connections. */
   void quiesce();
 
-  /** @return the number of requests that were given to the handler and not
-   * answered in full. */
+  /** @return the number of requests that were given to the handler and whose
+   * answers are not written in full. */
   std::size_t openRequests() const;
 
 private:
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -11,6 +11,7 @@
 #include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace chivefold {
 
@@ -136,6 +137,7 @@
   Fd = -1;
   Loop.cancel(Timer);
   Timer = TimerId::None;
+  Owner.OpenRequests -= std::exchange(Unwritten, 0);
   const auto slots = std::move(Slots);
   Slots.clear();
   for (const auto &it : slots) {
@@ -278,7 +280,7 @@
     const auto slot = Slots.front();
     Slots.pop_front();
     appendAnswer(*slot, NoMoreRequests && Slots.empty());
-    Owner.OpenRequests -= slot->Dispatched ? 1 : 0;
+    Unwritten += slot->Dispatched ? 1 : 0;
   }
   write();
   if (Fd >= 0 && !Input.empty() && !NoMoreRequests) {
@@ -324,6 +326,7 @@
   if (!Blocked) {
     Output.clear();
     Written = 0;
+    Owner.OpenRequests -= std::exchange(Unwritten, 0);
     if (NoMoreRequests && !Lingering && Slots.empty()) {
       startLinger();
     }
--- a/src/io/http_connection.h
+++ b/src/io/http_connection.h
@@ -27,6 +27,7 @@
   virtual void onClosed(HttpConnection &connection) = 0;
 
   HttpServerLimits Limits;
+  /** Requests given to the handler whose answers are not written in full. */
   std::size_t OpenRequests = 0;
   /** Each answer closes its connection. */
   bool Closing = false;
@@ -85,6 +86,8 @@
   std::deque<std::shared_ptr<HttpSlot>> Slots;
   std::string Output;
   std::size_t Written = 0;
+  /** Requests whose answers are in Output. */
+  std::size_t Unwritten = 0;
   std::size_t Discarded = 0;
   /** No further request is read; the connection ends after the last answer. */
   bool NoMoreRequests = false;
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -194,3 +194,42 @@
   CHECK(all.find("second") != std::string::npos);
   CHECK(all.find("Connection: close") > all.find("first"));
 }
+
+namespace {
+
+/** Larger than the buffers of the sockets on both ends. */
+constexpr std::size_t LongAnswerBytes = 16U << 20U;
+
+bool isWhole(const std::string &answers, std::size_t bytes) {
+  const auto n = answers.rfind("\r\n\r\n");
+  return n != std::string::npos && answers.size() - n - 4 == bytes;
+}
+
+// Reads to the end on another thread, while the loop runs.
+std::string readWhileRunning(Reactor &loop, const RawSocket &s) {
+  auto all = std::async(std::launch::async, [&s] { return s.readAll(); });
+  runUntil(loop, [&] {
+    return all.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+  });
+  return all.get();
+}
+
+} // namespace
+
+// Guards against a planned stop that drops answers which their client still
+// reads: their requests counted as answered (review/3).
+TEST_CASE("a request is open until its answer is written", "[http_server]") {
+  ServerFixture f;
+  f.Hold = true;
+  const auto s = RawSocket::connectTo(f.Server.bound());
+  s.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(runUntil(f.Loop, [&] { return f.Held.size() == 1; }));
+  f.Server.quiesce();
+  f.Held[0]->respond({200, {}, std::string(LongAnswerBytes, 'x')});
+  f.Held.clear();
+  const auto end = f.Loop.now() + std::chrono::milliseconds(100);
+  runUntil(f.Loop, [&] { return f.Loop.now() >= end; });
+  CHECK(f.Server.openRequests() == 1);
+  CHECK(isWhole(readWhileRunning(f.Loop, s), LongAnswerBytes));
+  CHECK(f.Server.openRequests() == 0);
+}
