Bound the answers that wait for slow clients

Cause: a connection took up further requests while its client did not read, and nothing bounded the answers of one connection or of all.

Further requests of a connection are read only while less than 256 KiB wait for its client, its requests in progress may bring less than 2 MiB, and less than 24 MiB wait for all clients; connections without waiting answers go on. Above 24 MiB the connection with the most waiting bytes is closed, since the process would end otherwise. A client that takes no byte for the idle time-out is disconnected. Written bytes are freed. Backpressure works since clients that read at once never have answers waiting, and the system's buffers hold back the rest.

--- a/include/chivefold/io/http_server.h
+++ b/include/chivefold/io/http_server.h
@@ -37,7 +37,8 @@
   std::size_t MaxBodyBytes = HttpLimits::MaxBodyBytes;
   /** From the first byte of a request to the end of its headers. */
   Duration HeaderTimeout = std::chrono::seconds(10);
-  /** Without a byte between two requests, or within a body. */
+  /** Without a byte between two requests, or within a body, or while answers
+   * wait for the client to read them. */
   Duration IdleTimeout = std::chrono::seconds(60);
 };
 
@@ -53,6 +54,16 @@
   /** Requests of one connection handled concurrently; further ones are read
    * later. */
   static constexpr std::size_t MaxPipelined = 32;
+  /** Further requests of a connection are read only while its requests in
+   * progress, each with an answer like the last one, stay below this size. */
+  static constexpr std::size_t MaxPipelinedBytes = 2U << 20U;
+  /** Further requests of a connection are read only while fewer bytes of
+   * answers wait for its client to read them. */
+  static constexpr std::size_t MaxUnwrittenBytes = 256U << 10U;
+  /** Bound of the answers that wait for all clients. Above it, requests are
+   * read only from connections without waiting answers, and the connection with
+   * the most waiting bytes is closed. */
+  static constexpr std::size_t MaxHeldBytes = 24U << 20U;
 
   /** @param listen address to bind; port 0 picks a free one. */
   HttpServer(Reactor &reactor, Address listen, HttpHandler handler);
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -37,6 +37,9 @@
  * gets the refusal in place of a reset. */
 constexpr std::size_t MaxDiscardedBytes = 8 * HttpLimits::MaxBodyBytes;
 
+/** Written bytes that are kept in front of unwritten ones. */
+constexpr std::size_t TrimBytes = 1U << 20U;
+
 class Exchange : public HttpExchange {
 public:
   Exchange(std::weak_ptr<HttpConnection> connection,
@@ -60,9 +63,7 @@
     if (Slot->Response || !open) {
       return;
     }
-    Slot->Response = std::move(response);
-    Slot->Abandoned = nullptr;
-    open->flushAnswers();
+    open->answer(*Slot, std::move(response));
   }
 
   void onAbandoned(std::function<void()> task) override {
@@ -108,8 +109,8 @@
 
 HttpConnection::HttpConnection(Reactor &reactor, HttpConnectionOwner &owner,
                                int fd)
-    : Loop(reactor), Owner(owner), Fd(fd), HeardAt(Loop.now()),
-      RequestBegan(HeardAt) {}
+    : Loop(reactor), Owner(owner), Fd(fd), TakenAt(Loop.now()),
+      HeardAt(TakenAt), RequestBegan(TakenAt) {}
 
 HttpConnection::~HttpConnection() {
   if (Fd >= 0) {
@@ -138,6 +139,10 @@
   Loop.cancel(Timer);
   Timer = TimerId::None;
   Owner.OpenRequests -= std::exchange(Unwritten, 0);
+  Output.clear();
+  Written = 0;
+  SlotBytes = 0;
+  updateHeld();
   const auto slots = std::move(Slots);
   Slots.clear();
   for (const auto &it : slots) {
@@ -159,8 +164,16 @@
   }
 }
 
+// A client that reads its answers slowly gets no further requests read, so that
+// the answers that wait for it stay bounded.
 bool HttpConnection::mayRead() const {
-  return Slots.size() < HttpServer::MaxPipelined;
+  if (Slots.empty() && Held == 0) {
+    return true;
+  }
+  return Slots.size() < HttpServer::MaxPipelined &&
+         Slots.size() * LastAnswerBytes < HttpServer::MaxPipelinedBytes &&
+         Output.size() - Written < HttpServer::MaxUnwrittenBytes &&
+         Owner.HeldBytes < HttpServer::MaxHeldBytes;
 }
 
 void HttpConnection::receive() {
@@ -270,6 +283,23 @@
   flushAnswers();
 }
 
+void HttpConnection::answer(HttpSlot &slot, HttpResponse response) {
+  slot.Response = std::move(response);
+  slot.Abandoned = nullptr;
+  LastAnswerBytes = slot.Response->Body.size();
+  SlotBytes += LastAnswerBytes;
+  flushAnswers();
+}
+
+void HttpConnection::updateHeld() {
+  const auto held = SlotBytes + Output.size() - Written;
+  Owner.HeldBytes += held - Held;
+  const bool hasGrown = held > std::exchange(Held, held);
+  if (hasGrown && Owner.HeldBytes > HttpServer::MaxHeldBytes) {
+    Owner.onOverflow();
+  }
+}
+
 void HttpConnection::flushAnswers() {
   const auto kept = shared_from_this();
   if (Fd < 0) {
@@ -283,19 +313,24 @@
     Unwritten += slot->Dispatched ? 1 : 0;
   }
   write();
-  if (Fd >= 0 && !Input.empty() && !NoMoreRequests) {
-    // Requests that waited for their turn; not in this call, which may come
-    // from the parser itself.
-    Loop.schedule(Loop.now(), [weak = weak_from_this()] {
-      if (const auto open = weak.lock()) {
-        open->parse();
-      }
-    });
+}
+
+// Reads requests that waited for their turn; not in this call, which may come
+// from the parser itself.
+void HttpConnection::parseLater() {
+  if (Fd < 0 || Input.empty() || NoMoreRequests || !mayRead()) {
+    return;
   }
+  Loop.schedule(Loop.now(), [weak = weak_from_this()] {
+    if (const auto open = weak.lock()) {
+      open->parse();
+    }
+  });
 }
 
 void HttpConnection::appendAnswer(HttpSlot &slot, bool last) {
   const auto &r = *slot.Response;
+  SlotBytes -= slot.Dispatched ? r.Body.size() : 0;
   Output += "HTTP/1.1 " + std::to_string(r.Status) + " ";
   Output +=
       std::string(http::obsolete_reason(static_cast<http::status>(r.Status)));
@@ -319,10 +354,18 @@
 }
 
 void HttpConnection::write() {
+  const auto before = Written;
   if (!sendAvailable(Fd, Output, Written)) {
     return shut();
   }
+  if (Written > before || !Blocked) {
+    TakenAt = Loop.now();
+  }
   Blocked = Written < Output.size();
+  if (Written >= TrimBytes) {
+    Output.erase(0, Written);
+    Written = 0;
+  }
   if (!Blocked) {
     Output.clear();
     Written = 0;
@@ -331,9 +374,11 @@
       startLinger();
     }
   }
+  updateHeld();
   if (Fd >= 0) {
     updateWatch();
     arm();
+    parseLater();
   }
 }
 
@@ -376,6 +421,9 @@
   if (Lingering) {
     return now >= HeardAt + LingerTimeout ? shut() : arm();
   }
+  if (Blocked && now >= TakenAt + Owner.Limits.IdleTimeout) {
+    return shut();
+  }
   const bool reading = Current.has_value() || !Input.empty();
   const bool inHeader = reading && !(Current && Current->is_header_done());
   if (inHeader && mayRead() &&
--- a/src/io/http_connection.h
+++ b/src/io/http_connection.h
@@ -29,6 +29,10 @@
   HttpServerLimits Limits;
   /** Requests given to the handler whose answers are not written in full. */
   std::size_t OpenRequests = 0;
+  /** Bytes of answers that are not written yet, over all connections. */
+  std::size_t HeldBytes = 0;
+  /** Called when HeldBytes has risen above HttpServer::MaxHeldBytes. */
+  virtual void onOverflow() = 0;
   /** Each answer closes its connection. */
   bool Closing = false;
 };
@@ -56,6 +60,10 @@
   }
   /** Writes the responses that are next in order. */
   void flushAnswers();
+  /** Stores the response of a request and writes those that are next. */
+  void answer(HttpSlot &slot, HttpResponse response);
+  /** @return bytes of answers that are not written yet. */
+  std::size_t held() const { return Held; }
 
 private:
   using Parser =
@@ -69,6 +77,8 @@
   void refuse(int status);
   void write();
   void appendAnswer(HttpSlot &slot, bool last);
+  void updateHeld();
+  void parseLater();
   void updateWatch();
   void arm();
   void onTimer();
@@ -88,6 +98,12 @@
   std::size_t Written = 0;
   /** Requests whose answers are in Output. */
   std::size_t Unwritten = 0;
+  /** Bytes of responses in Slots, and of these and Output together. */
+  std::size_t SlotBytes = 0;
+  std::size_t Held = 0;
+  std::size_t LastAnswerBytes = 0;
+  /** When the client last took bytes of answers. */
+  TimePoint TakenAt;
   std::size_t Discarded = 0;
   /** No further request is read; the connection ends after the last answer. */
   bool NoMoreRequests = false;
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -3,6 +3,7 @@
 #include "http_connection.h"
 #include "listener.h"
 
+#include <algorithm>
 #include <unordered_map>
 
 namespace chivefold {
@@ -24,6 +25,7 @@
     for (const auto &it : open) {
       it.second->shut();
     }
+    Loop.cancel(Shedding);
   }
   Impl(const Impl &) = delete;
   Impl &operator=(const Impl &) = delete;
@@ -44,10 +46,13 @@
     }
   }
 
+  void onOverflow() override;
+
   Reactor &Loop;
   Address Listen;
   HttpHandler Handler;
   Listener Socket;
+  TimerId Shedding = TimerId::None;
   std::unordered_map<HttpConnection *, std::shared_ptr<HttpConnection>>
       Connections;
 };
@@ -67,6 +72,29 @@
   }
 }
 
+// Closes the connection whose client leaves the most bytes of answers unread.
+void HttpServer::Impl::onOverflow() {
+  if (Shedding != TimerId::None) {
+    return;
+  }
+  // In the next turn: the connection may be on the call stack.
+  Shedding = Loop.schedule(Loop.now(), [this] {
+    Shedding = TimerId::None;
+    const auto largest =
+        std::max_element(Connections.begin(), Connections.end(),
+                         [](const auto &a, const auto &b) {
+                           return a.second->held() < b.second->held();
+                         });
+    if (HeldBytes > HttpServer::MaxHeldBytes && largest != Connections.end()) {
+      const auto kept = largest->second;
+      kept->shut();
+    }
+    if (HeldBytes > HttpServer::MaxHeldBytes) {
+      onOverflow();
+    }
+  });
+}
+
 void HttpServer::Impl::acceptConnections() {
   for (int i = 0; i < MaxAccepts; ++i) {
     ACE_SOCK_Stream stream;
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -233,3 +233,93 @@
   CHECK(isWhole(readWhileRunning(f.Loop, s), LongAnswerBytes));
   CHECK(f.Server.openRequests() == 0);
 }
+
+// Guards against a client that reads slowly and makes the daemon hold the
+// answers to all requests that it sends (review/4).
+TEST_CASE("a slow reader's requests are read as it takes its answers",
+          "[http_server]") {
+  constexpr int requests = 40;
+  constexpr std::size_t answerBytes = 1U << 20U;
+  Reactor loop;
+  int handled = 0;
+  HttpServer server(
+      loop, {"127.0.0.1", 0},
+      [&](const std::shared_ptr<HttpExchange> &exchange) {
+        ++handled;
+        exchange->respond({200, {}, std::string(answerBytes, 'x')});
+      });
+  REQUIRE(server.start());
+  const auto s = RawSocket::connectTo(server.bound());
+  s.setReceiveBuffer(65536);
+  std::string all;
+  for (int i = 0; i < requests; ++i) {
+    all += "GET / HTTP/1.1\r\nHost: x\r\n" +
+           std::string(i + 1 == requests ? "Connection: close\r\n" : "") +
+           "\r\n";
+  }
+  s.write(all);
+  const auto end = loop.now() + std::chrono::milliseconds(300);
+  runUntil(loop, [&] { return loop.now() >= end; });
+  // The sender's buffer of the system holds some, the server one or two.
+  CHECK(handled > 0);
+  CHECK(handled < requests / 2);
+  // Other clients are served meanwhile.
+  const auto other = RawSocket::connectTo(server.bound());
+  other.write("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  CHECK(isWhole(readWhileRunning(loop, other), answerBytes));
+  const auto answers = readWhileRunning(loop, s);
+  CHECK(handled == requests + 1);
+  CHECK(answers.size() > requests * answerBytes);
+  CHECK(isWhole(answers, answerBytes));
+}
+
+// Guards against many slow readers whose answers together take more memory than
+// the process may have (review/4).
+TEST_CASE("answers that wait for clients are bounded together",
+          "[http_server]") {
+  constexpr std::size_t clients = 12;
+  ServerFixture f;
+  f.Hold = true;
+  std::vector<RawSocket> open;
+  for (std::size_t i = 0; i < clients; ++i) {
+    open.push_back(RawSocket::connectTo(f.Server.bound()));
+    open.back().setReceiveBuffer(65536);
+    open.back().write("GET / HTTP/1.1\r\nHost: x\r\n"
+                      "Connection: close\r\n\r\n");
+  }
+  REQUIRE(runUntil(f.Loop, [&] { return f.Held.size() == clients; }));
+  for (const auto &it : f.Held) {
+    it->respond({200, {}, std::string(LongAnswerBytes, 'x')});
+  }
+  f.Held.clear();
+  std::size_t whole = 0;
+  // The closed connections are those above the bound.
+  const auto end = f.Loop.now() + std::chrono::milliseconds(100);
+  runUntil(f.Loop, [&] { return f.Loop.now() >= end; });
+  CHECK(f.Server.openRequests() * LongAnswerBytes <=
+        HttpServer::MaxHeldBytes + LongAnswerBytes);
+  CHECK(f.Server.openRequests() > 0);
+  for (const auto &it : open) {
+    whole += isWhole(readWhileRunning(f.Loop, it), LongAnswerBytes) ? 1 : 0;
+  }
+  CHECK(whole > 0);
+  CHECK(whole < clients);
+}
+
+// Guards against a client that never reads its answer and keeps its connection
+// for good.
+TEST_CASE("a client that reads nothing is disconnected", "[http_server]") {
+  ServerFixture f;
+  f.Hold = true;
+  HttpServerLimits limits;
+  limits.IdleTimeout = std::chrono::milliseconds(300);
+  f.Server.setLimits(limits);
+  const auto s = RawSocket::connectTo(f.Server.bound());
+  s.setReceiveBuffer(65536);
+  s.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(runUntil(f.Loop, [&] { return f.Held.size() == 1; }));
+  f.Held[0]->respond({200, {}, std::string(LongAnswerBytes, 'x')});
+  f.Held.clear();
+  CHECK(f.Server.openRequests() == 1);
+  CHECK(runUntil(f.Loop, [&] { return f.Server.openRequests() == 0; }));
+}
--- a/tests/unit/raw_socket.h
+++ b/tests/unit/raw_socket.h
@@ -85,6 +85,10 @@
     return all;
   }
   std::string readAll() const { return readUntil(""); }
+  /** Bounds what the system receives before it is read. */
+  void setReceiveBuffer(int bytes) const {
+    setsockopt(Fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+  }
   void setReceiveTimeout(timeval limit) const {
     setsockopt(Fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
   }
