Apply a report that came before its configuration

The last such report is kept and applied when the configuration comes, unless another server has reported since.

Test: "a report before its configuration counts".

--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -18,6 +18,7 @@
 
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -183,6 +184,7 @@
   void recordInterruption(const Call &call, const CallResult &result);
   void reportCrash();
   void count(const Call &call, const CallResult &result, Duration latency);
+  bool isConfigured(const ServerReport &report) const;
   std::string objectionTo(const ServerReport &report) const;
   bool replacesSilentServer(const ServerReport &report);
   void replaceCurrentInstance(const ServerReport &report);
@@ -227,7 +229,8 @@
   std::deque<Start> EndedStarts;
   /** Starts in whose place another one reported. */
   std::deque<Start> ReplacedStarts;
-  static void remember(std::deque<Start> &starts, Start start);
+  /** Last report of a service that the configuration does not contain yet. */
+  std::optional<ServerReport> Unconfigured;
   SlotGate Gate;
   std::unordered_map<BackendCallId, Call> Calls;
   std::uint64_t NextCall = 0;
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -3,6 +3,7 @@
 #include "chivefold/core/call_policy.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chivefold {
 
@@ -19,6 +20,14 @@
                 std::to_string(report.StartedAtMs.value_or(0)));
 }
 
+template <class T>
+void pushBounded(std::deque<T> &to, T value, std::size_t max) {
+  to.push_back(std::move(value));
+  if (to.size() > max) {
+    to.pop_front();
+  }
+}
+
 } // namespace
 
 BackendService::BackendService(Reactor &reactor, HttpClient &client,
@@ -44,6 +53,9 @@
   if (!sameStart) {
     const auto objection = objectionTo(report);
     if (!objection.empty() && !replacesSilentServer(report)) {
+      if (!isConfigured(report)) {
+        Unconfigured = report;
+      }
       return Reason{ErrorCode::Conflict, objection};
     }
   }
@@ -85,6 +97,12 @@
   return Done{};
 }
 
+// Whether the configuration, if there is one, contains the reported service.
+bool BackendService::isConfigured(const ServerReport &report) const {
+  return !Orders.routes() ||
+         Orders.routes()->service(report.State.Service) != nullptr;
+}
+
 // Returns why a report of another start may not come from the server that now
 // has the address; "" if nothing speaks against it.
 std::string BackendService::objectionTo(const ServerReport &report) const {
@@ -96,8 +114,7 @@
   if (StartedAtMs && report.StartedAtMs && *report.StartedAtMs < *StartedAtMs) {
     return "a newer instance has already reported";
   }
-  if (Orders.routes() &&
-      Orders.routes()->service(report.State.Service) == nullptr) {
+  if (!isConfigured(report)) {
     return "the configuration does not contain the reported service";
   }
   return "";
@@ -139,13 +156,6 @@
   Counts.setVersion(report.State.Version);
 }
 
-void BackendService::remember(std::deque<Start> &starts, Start start) {
-  starts.push_back(std::move(start));
-  if (starts.size() > MaxEndedStarts) {
-    starts.pop_front();
-  }
-}
-
 // A start that announced its end has ended for good. Another one may live, and
 // its reports count again once its successor is silent.
 void BackendService::replaceCurrentInstance(const ServerReport &report) {
@@ -157,14 +167,14 @@
     return endCurrentInstance();
   }
   if (!Server.Instance.empty()) {
-    remember(ReplacedStarts, {Server.Instance, StartedAtMs});
+    pushBounded(ReplacedStarts, {Server.Instance, StartedAtMs}, MaxEndedStarts);
   }
   Server = {};
 }
 
 void BackendService::endCurrentInstance() {
   if (!Server.Instance.empty()) {
-    remember(EndedStarts, {Server.Instance, StartedAtMs});
+    pushBounded(EndedStarts, {Server.Instance, StartedAtMs}, MaxEndedStarts);
   }
   Server = {};
 }
@@ -185,7 +195,17 @@
   updateGate();
 }
 
-void BackendService::ordersChanged() { updateGate(); }
+void BackendService::ordersChanged() {
+  if (Unconfigured && isConfigured(*Unconfigured)) {
+    const auto waiting = *std::exchange(Unconfigured, std::nullopt);
+    // A server that has reported since is not replaced by an older report.
+    if (Server.Instance.empty() && !report(waiting)) {
+      Lines.info("a report before its configuration no longer applies",
+                 {{"instance", waiting.State.Instance}});
+    }
+  }
+  updateGate();
+}
 
 void BackendService::updateGate() {
   // The configuration states the request rate allowed for a cold server.
--- a/tests/unit/backend_service_test.cpp
+++ b/tests/unit/backend_service_test.cpp
@@ -268,3 +268,21 @@
   const auto ended = f.Backend.report(f.report("i", 10, ++sequence));
   CHECK(ended.reason().Message == "the reported instance has ended");
 }
+
+// Guards against a server that gets no calls until its next report because it
+// reported before the configuration contained its service.
+TEST_CASE("a report before its configuration counts", "[backend]") {
+  BackendFixture f;
+  f.configure();
+  auto report = f.report("i", 10, 1);
+  report.State.Service = "later";
+  CHECK_FALSE(f.Backend.report(report));
+  CHECK(f.Backend.server().Instance.empty());
+  f.Orders.apply({"config",
+                  R"({"version":"r2","routes":[],"services":[{"name":"s"},
+                      {"name":"later"}]})",
+                  1});
+  f.Backend.ordersChanged();
+  CHECK(f.Backend.server().Instance == "i");
+  CHECK(f.Backend.gate().Limit > 0);
+}
