--- a/tests/unit/odd_entry_test.cpp
+++ b/tests/unit/odd_entry_test.cpp
@@ -181,13 +181,14 @@
       "{\"key\":\"odd\xff\",\"value\":\"YQ==\",\"offset\":7}"};
   for (const auto &it : odd) {
     INFO(it.substr(0, 60));
-    std::string items;
+    std::string listing = R"({"items":[)";
     for (int i = 0; i < 100; ++i) {
-      items += R"({"key":"evacuate/z)" + std::to_string(i) +
-               R"(é","value":"YQ==","offset":)" + std::to_string(i) + "},";
+      const auto n = std::to_string(i);
+      listing.append(R"({"key":"evacuate/z)").append(n);
+      listing.append(R"(é","value":"YQ==","offset":)").append(n).append("},");
     }
-    const auto batch = platform::parseListing(
-        R"({"items":[)" + items + it + R"(],"hasMore":"odd","endOffset":200})");
+    listing.append(it).append(R"(],"hasMore":"odd","endOffset":200})");
+    const auto batch = platform::parseListing(listing);
     REQUIRE(batch);
     CHECK(batch->Records.size() >= 100);
     CHECK(batch->Records[99].Key == "evacuate/z99é");
