Split the proxy's routing from its attempts

Routing, the status of unrouted requests and the wait for a later configuration are now in proxy_routing.cpp; behaviour is unchanged.

--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -1,4 +1,4 @@
-#include "chivefold/sidecar/proxy_service.h"
+#include "proxy_request.h"
 
 #include "chivefold/daemon/wire_convert.h"
 #include "chivefold/sidecar/refusal.h"
@@ -8,53 +8,6 @@
 
 namespace chivefold {
 
-namespace {
-
-/** Retry-After value for refusals for which no other value is known. */
-constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(500);
-/** Retry-After value while the daemon stops; clients then use another host. */
-constexpr Duration LeavingRetryAfter = std::chrono::milliseconds(100);
-
-std::string pathAndQuery(const HttpRequest &request) {
-  return request.Query.empty() ? request.Path
-                               : request.Path + "?" + request.Query;
-}
-
-std::uint64_t toMs(Duration d) {
-  return static_cast<std::uint64_t>(std::max<Duration::rep>(d.count(), 0) /
-                                    1000);
-}
-
-} // namespace
-
-struct ProxyService::Request {
-  std::shared_ptr<HttpExchange> Exchange;
-  std::string Hostname;
-  /** Configuration of the route, which it keeps alive. */
-  std::shared_ptr<const RouteTable> Table;
-  const MeshRoute *Route = nullptr;
-  CallMessage Call;
-  TimePoint ReceivedAt{};
-  TimePoint Deadline{};
-  TimerId Timer = TimerId::None;
-  /** Ends the wait for a later configuration. */
-  TimerId OrdersTimer = TimerId::None;
-  std::vector<Address> Tried;
-  std::uint32_t Attempts = 0;
-  std::uint32_t Runs = 0;
-  /** Host of the current attempt. */
-  Address Peer;
-  TimePoint AttemptAt{};
-  bool InProgress = false;
-  PeerRequestId PeerCall = PeerRequestId::None;
-  BackendCallId LocalCall = BackendCallId::None;
-  /** Last answer with a server error; delivered if the retry has no known
-   * outcome. */
-  std::optional<CallResult> ErrorAnswer;
-  Duration RetryAfter{};
-  bool Done = false;
-};
-
 ProxyService::ProxyService(Reactor &reactor, PeerNetwork &network,
                            const ProxyDependencies &parts, Address self,
                            std::string callerService)
@@ -72,134 +25,10 @@
   CallerService = std::move(service);
 }
 
-// Status of a request without a route. The route may be in a configuration that
-// this daemon has not received yet.
-int ProxyService::unroutedStatus(const std::string &hostname) const {
-  if (!Parts.Orders.routes()) {
-    return 503;
-  }
-  if (hostname.empty()) {
-    return 400;
-  }
-  return Parts.Feed.mayBeStale() ? 503 : 404;
-}
-
-void ProxyService::answerUnrouted(const std::shared_ptr<HttpExchange> &exchange,
-                                  const ClientRequest &client) {
-  const auto &routes = Parts.Orders.routes();
-  const int status = unroutedStatus(client.Hostname);
-  Lines.info("no matching route",
-             {{"request", client.Id},
-              {"status", static_cast<std::uint64_t>(status)},
-              {"host", client.Hostname},
-              {"path", exchange->request().Path},
-              {"version", routes ? routes->configuration().Version : 0}});
-  if (status == 503) {
-    return exchange->respond(refusal(status, DefaultRetryAfter));
-  }
-  exchange->respond({status, {}, ""});
-}
-
-void ProxyService::handle(const std::shared_ptr<HttpExchange> &exchange) {
-  const auto &received = exchange->request();
-  const auto client = Parts.Ports.Requests.readClient(received);
-  const auto &table = Parts.Orders.routes();
-  const auto *route =
-      table ? table->find(client.Hostname, received.Path) : nullptr;
-  if (route == nullptr) {
-    return answerUnrouted(exchange, client);
-  }
-  const auto now = Loop.now();
-  if (Leaving) {
-    // Clients of this host use another host until the daemon has restarted.
-    return exchange->respond(refusal(503, LeavingRetryAfter));
-  }
-  auto request = std::make_shared<Request>();
-  request->Exchange = exchange;
-  request->Hostname = client.Hostname;
-  request->Table = table;
-  request->ReceivedAt = now;
-  request->Deadline =
-      now + std::min(route->Timeout, client.TimeLeft.value_or(route->Timeout));
-  auto &call = request->Call;
-  setRoute(*request, *route);
-  call.Service = Split.choose(*route);
-  call.Method = received.Method;
-  call.Target = pathAndQuery(received);
-  call.Headers = received.Headers;
-  call.Body = received.Body;
-  call.Deadline = request->Deadline;
-  call.InTimeUntil = inTimeUntil(*route, client, now);
-  call.CallerService = CallerService;
-  call.RequestId = client.Id;
-  const auto quarantine = Parts.Poison.isEmpty()
-                              ? std::nullopt
-                              : Parts.Poison.quarantined(digestOf(call));
-  if (quarantine) {
-    Lines.info("refused a request that crashes servers",
-               {{"request", client.Id}, {"route", route->Name}});
-    return exchange->respond(refusal(503, *quarantine));
-  }
-  Open.emplace(request.get(), request);
-  const std::weak_ptr<Request> weak = request;
-  request->Timer = Loop.schedule(request->Deadline, [this, weak] {
-    if (const auto open = weak.lock()) {
-      onDeadline(open);
-    }
-  });
-  exchange->onAbandoned([this, weak] {
-    if (const auto open = weak.lock()) {
-      abandon(open);
-    }
-  });
-  attempt(request);
-}
-
-TimePoint ProxyService::inTimeUntil(const MeshRoute &route,
-                                    const ClientRequest &client,
-                                    TimePoint now) {
-  if (route.TargetLatency <= Duration::zero()) {
-    return TimePoint::max();
-  }
-  const auto age = client.TimeLeft
-                       ? Ages.recordAttempt(route.Name, *client.TimeLeft)
-                       : Duration::zero();
-  return now + route.TargetLatency - age;
-}
-
 RetryTokens &ProxyService::tokens(const std::string &service) {
   return Tokens.try_emplace(service, Loop.now()).first->second;
 }
 
-void ProxyService::setRoute(Request &request, const MeshRoute &route) const {
-  request.Route = &route;
-  auto &call = request.Call;
-  call.Worth = route.Priority;
-  call.Repeatable = route.Kind == RequestKind::Idempotent;
-  call.Route = route.Name;
-  call.ConfigurationVersion = request.Table->configuration().Version;
-}
-
-// Routes a request again if the configuration has changed since. Deadline and
-// target latency stay. @return false if it no longer has a route.
-bool ProxyService::updateRoute(Request &request) {
-  const auto &table = Parts.Orders.routes();
-  if (table == request.Table) {
-    return true;
-  }
-  const auto *route = table->find(request.Hostname, request.Call.path());
-  if (route == nullptr) {
-    return false;
-  }
-  request.Table = table;
-  setRoute(request, *route);
-  if (!leadsTo(*route, request.Call.Service)) {
-    request.Call.Service = Split.choose(*route);
-    request.Tried.clear();
-  }
-  return true;
-}
-
 void ProxyService::attempt(const RequestPtr &request) {
   if (!updateRoute(*request)) {
     return finishUnrouted(request);
@@ -298,47 +127,6 @@
   decide(request, std::move(result), end);
 }
 
-// The daemon beside the server has a configuration that routes the request
-// elsewhere. If it is later than that of this daemon, the request waits for it.
-void ProxyService::onRouteChanged(const RequestPtr &request,
-                                  const CallResult &result) {
-  if (request->Attempts >= AttemptPolicy::MaxAttempts) {
-    return decide(request, result, AttemptEnd::RefusedByGate);
-  }
-  // The refusal says nothing about the server.
-  request->Tried.pop_back();
-  if (Parts.Orders.routes() != request->Table) {
-    return attempt(request);
-  }
-  Lines.info("waiting for a configuration that another daemon has",
-             {{"request", request->Call.RequestId},
-              {"route", request->Route->Name},
-              {"host", toString(request->Peer)},
-              {"version", request->Table->configuration().Version}});
-  AwaitingOrders.insert(request.get());
-  const std::weak_ptr<Request> weak = request;
-  request->OrdersTimer =
-      Loop.schedule(Loop.now() + MaxOrdersWait, [this, weak] {
-        const auto open = weak.lock();
-        if (open && !open->Done) {
-          finishUnserved(open, {});
-        }
-      });
-}
-
-void ProxyService::ordersChanged() {
-  const auto waiting = std::exchange(AwaitingOrders, {});
-  for (auto *const it : waiting) {
-    // The attempt of another request may have ended this one.
-    const auto open = Open.find(it);
-    if (open != Open.end() && it->OrdersTimer != TimerId::None) {
-      Loop.cancel(it->OrdersTimer);
-      it->OrdersTimer = TimerId::None;
-      attempt(RequestPtr(open->second));
-    }
-  }
-}
-
 void ProxyService::updatePlacement(Request &request, const CallResult &result,
                                    AttemptEnd end) {
   const auto now = Loop.now();
@@ -449,20 +237,6 @@
   return request->Runs > 0 ? reportUnknown(request) : refuse(request, result);
 }
 
-// Ends a request that the configuration in force does not route.
-void ProxyService::finishUnrouted(const RequestPtr &request) {
-  const int status = unroutedStatus(request->Hostname);
-  Lines.info("the configuration no longer routes a request",
-             {{"request", request->Call.RequestId},
-              {"route", request->Route->Name},
-              {"status", static_cast<std::uint64_t>(status)},
-              {"version", Parts.Orders.routes()->configuration().Version}});
-  if (request->Runs > 0 || status == 503) {
-    return finishUnserved(request, {});
-  }
-  finish(request, {status, {}, ""}, Outcome::NotRun);
-}
-
 void ProxyService::reportUnknown(const RequestPtr &request) {
   if (request->ErrorAnswer) {
     return deliver(request, std::move(*request->ErrorAnswer));
