Bound repeated attempts by the terms of the operator

Of 441 attempts that servers declined on the logged hosts 41 were repeated.

Change: the sidecar learns ratio, slack and window from its settings. A host spends half of its share of the terms, counted over its requests of the last window whether they were answered or not; the other half covers the calls of repeated runs, which count at the called service. The last part is kept for urgent requests. Without terms nothing changes.

Ruled out: the whole ratio, since a service and its caller that both decline would exceed the terms together.

One line of mesh_state_test.cpp names the new type of the budget; its checks are unchanged.

--- a/include/chivefold/mesh/attempt_policy.h
+++ b/include/chivefold/mesh/attempt_policy.h
@@ -5,9 +5,9 @@
 #ifndef CHIVEFOLD_MESH_ATTEMPT_POLICY_H
 #define CHIVEFOLD_MESH_ATTEMPT_POLICY_H
 
-#include "chivefold/core/call_policy.h"
 #include "chivefold/core/types.h"
 #include "chivefold/mesh/mesh_configuration.h"
+#include "chivefold/mesh/retry_budget.h"
 
 #include <cstdint>
 #include <string_view>
@@ -55,6 +55,10 @@
    * refused. Another server would fail in the same way. */
   bool CallRefused = false;
   RequestKind Kind = RequestKind::AtMostOnce;
+  /** 0 is the most urgent. */
+  std::uint32_t Priority = 0;
+  /** Hosts of the fleet, which share the slack of the retry budget. */
+  std::size_t Hosts = 1;
   /** Attempts so far that may have run the request, including this one. */
   std::uint32_t PossibleRuns = 0;
   /** A request with this many attempts that may have run it is not retried. */
@@ -70,16 +74,16 @@
 /**
  * Decides whether a request is retried after an attempt, and otherwise how it
  * is answered. An at-most-once request is never retried after an attempt that
- * may have run it. A retry takes a token of the service's retry budget if the
- * last attempt reached a server. After a refusal by a gate it takes none, since
- * no server received the request. Thread-safe except for the tokens.
+ * may have run it. A retry is taken from the service's retry budget if the last
+ * attempt reached a server. After a refusal by a gate it is not, since no
+ * server received the request. Thread-safe except for the budget.
  */
 class AttemptPolicy {
 public:
   /** Limit of all attempts of a request, including refused ones. */
   static constexpr std::uint32_t MaxAttempts = 5;
 
-  static NextStep next(const AttemptFacts &facts, RetryTokens &tokens,
+  static NextStep next(const AttemptFacts &facts, RetryBudget &budget,
                        TimePoint now);
 };
 
--- a/include/chivefold/mesh/placement.h
+++ b/include/chivefold/mesh/placement.h
@@ -151,6 +151,10 @@
    * the daemon beside the server restarts. */
   RequestLimit knownLimit(const Address &peer) const;
 
+  /** @return number of hosts in the fleet, whether they can be reached or not.
+   */
+  std::size_t fleetSize() const { return Fleet.hosts().size(); }
+
   /** @return expected latency of a route on an average server. */
   Duration expectedLatency(const std::string &route) const;
 
--- a/include/chivefold/sidecar/proxy_service.h
+++ b/include/chivefold/sidecar/proxy_service.h
@@ -5,7 +5,6 @@
 #ifndef CHIVEFOLD_SIDECAR_PROXY_SERVICE_H
 #define CHIVEFOLD_SIDECAR_PROXY_SERVICE_H
 
-#include "chivefold/core/call_policy.h"
 #include "chivefold/core/metrics.h"
 #include "chivefold/io/http_server.h"
 #include "chivefold/io/logging.h"
@@ -20,6 +19,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -35,6 +35,8 @@
   BackendService &Backend;
   const PoisonService &Poison;
   Metrics &CallMetrics;
+  /** What the operator allows; absent if not stated. */
+  std::optional<RetryTerms> Retries;
 };
 
 /**
@@ -102,7 +104,7 @@
   void abandon(const RequestPtr &request);
   void cancelTimers(Request &request);
   void stopAttempt(Request &request);
-  RetryTokens &tokens(const std::string &service);
+  RetryBudget &retryBudget(const std::string &service);
 
   Reactor &Loop;
   PeerNetwork &Network;
@@ -114,7 +116,7 @@
   /** Requests that wait for a later configuration. */
   std::unordered_set<Request *> AwaitingOrders;
   /** By service; bounded by the services of the configuration. */
-  std::map<std::string, RetryTokens, std::less<>> Tokens;
+  std::map<std::string, RetryBudget, std::less<>> Budgets;
   ServiceSplit Split;
   AttemptAgeEstimator Ages;
   Logger Lines{"proxy"};
--- a/src/mesh/attempt_policy.cpp
+++ b/src/mesh/attempt_policy.cpp
@@ -50,12 +50,13 @@
   return AttemptEndNames[static_cast<std::size_t>(end)];
 }
 
-NextStep AttemptPolicy::next(const AttemptFacts &facts, RetryTokens &tokens,
+NextStep AttemptPolicy::next(const AttemptFacts &facts, RetryBudget &budget,
                              TimePoint now) {
   if (!mayRetry(facts)) {
     return finalStep(facts);
   }
-  if (reachedServer(facts.End) && !tokens.tryAcquire(now)) {
+  if (reachedServer(facts.End) &&
+      !budget.tryAcquire(facts.Priority, facts.Hosts, now)) {
     return finalStep(facts);
   }
   return NextStep::Retry;
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -25,8 +25,8 @@
   CallerService = std::move(service);
 }
 
-RetryTokens &ProxyService::tokens(const std::string &service) {
-  return Tokens.try_emplace(service, Loop.now()).first->second;
+RetryBudget &ProxyService::retryBudget(const std::string &service) {
+  return Budgets.try_emplace(service, Parts.Retries, Loop.now()).first->second;
 }
 
 void ProxyService::attempt(const RequestPtr &request) {
@@ -56,7 +56,9 @@
 
 void ProxyService::sendTo(const RequestPtr &request,
                           const PlacementChoice &choice) {
-  ++request->Attempts;
+  if (++request->Attempts == 1) {
+    retryBudget(request->Call.Service).recordRequest(Loop.now());
+  }
   request->Peer = *choice.Peer;
   request->Tried.push_back(*choice.Peer);
   request->AttemptAt = Loop.now();
@@ -136,7 +138,7 @@
   }
   switch (end) {
   case AttemptEnd::Answered:
-    tokens(request.Call.Service).recordAnswer();
+    retryBudget(request.Call.Service).recordAnswer();
     servers.answered(request.Peer, request.Route->Name, now - request.AttemptAt,
                      request.Call.Body.size() + result.Body.size(),
                      result.Status >= MinServerErrorStatus &&
@@ -171,13 +173,15 @@
   facts.Status = result.Status;
   facts.CallRefused = result.CallRefused;
   facts.Kind = request->Route->Kind;
+  facts.Priority = request->Route->Priority;
+  facts.Hosts = Parts.Servers.fleetSize();
   facts.PossibleRuns = request->Runs;
   facts.MaxPossibleRuns = request->Route->MaxAttempts;
   facts.Attempts = request->Attempts;
   facts.TimeLeft = request->Deadline - now;
   facts.ExpectedLatency = Parts.Servers.expectedLatency(request->Route->Name);
   const auto step =
-      AttemptPolicy::next(facts, tokens(request->Call.Service), now);
+      AttemptPolicy::next(facts, retryBudget(request->Call.Service), now);
   if (end != AttemptEnd::Answered || step != NextStep::Deliver) {
     Lines.info("attempt failed",
                {{"request", request->Call.RequestId},
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -12,6 +12,11 @@
 constexpr double MinGraceSeconds = 0.5;
 constexpr double MaxGraceSeconds = 600;
 constexpr double MaxExposureSlack = 1e6;
+constexpr double MaxRetryRatio = 10;
+constexpr double MaxRetrySlack = 1e6;
+/** Allowed range of --retry-window-seconds. */
+constexpr double MinRetryWindowSeconds = 1;
+constexpr double MaxRetryWindowSeconds = 600;
 
 void addName(CLI::App &app, const std::string &flag, std::string &to,
              const std::string &help) {
@@ -33,6 +38,42 @@
   add("--store", s.Store, "address of the platform's store");
 }
 
+/** Values of the options of the retry budget. A ratio and a slack of zero mean
+ * that the operator states none. */
+struct RetryOptions {
+  double Ratio = 0;
+  double Slack = 0;
+  double WindowSeconds = 10;
+};
+
+void addRetryOptions(CLI::App &app, RetryOptions &to) {
+  bindEnvironmentVariable(
+      app.add_option("--retry-budget-ratio", to.Ratio,
+                     "repeated attempts that a service may get from all hosts "
+                     "in a window, as a fraction of its requests"))
+      ->check(CLI::Range(0.0, MaxRetryRatio))
+      ->capture_default_str();
+  bindEnvironmentVariable(
+      app.add_option("--retry-budget-slack", to.Slack,
+                     "repeated attempts that a service may get in addition"))
+      ->check(CLI::Range(0.0, MaxRetrySlack))
+      ->capture_default_str();
+  bindEnvironmentVariable(
+      app.add_option("--retry-window-seconds", to.WindowSeconds,
+                     "window of the retry budget, in seconds"))
+      ->check(CLI::Range(MinRetryWindowSeconds, MaxRetryWindowSeconds))
+      ->capture_default_str();
+}
+
+std::optional<RetryTerms> retryTerms(const RetryOptions &options) {
+  if (options.Ratio <= 0 && options.Slack <= 0) {
+    return std::nullopt;
+  }
+  return RetryTerms{options.Ratio, options.Slack,
+                    std::chrono::duration_cast<Duration>(
+                        std::chrono::duration<double>(options.WindowSeconds))};
+}
+
 } // namespace
 
 ParsedSidecarSettings parseSidecarSettings(int argc, const char *const *argv) {
@@ -66,6 +107,8 @@
                      "requests that a bad version may receive in addition"))
       ->check(CLI::Range(0.0, MaxExposureSlack))
       ->capture_default_str();
+  RetryOptions retries;
+  addRetryOptions(app, retries);
   addLogLevelOption(app, s.LogLevel);
   if (auto exit = parseCommandLine(app, "chivefold-sidecar", argc, argv)) {
     parsed.Output = std::move(exit->Output);
@@ -74,6 +117,7 @@
   }
   s.GracePeriod = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(graceSeconds));
+  s.Retries = retryTerms(retries);
   s.File = config->as<std::string>();
   parsed.Value = s;
   return parsed;
--- a/tests/unit/mesh_state_test.cpp
+++ b/tests/unit/mesh_state_test.cpp
@@ -140,7 +140,7 @@
 // Guards against a second execution of an at-most-once request, and against a
 // "not run" response to a request that may have executed.
 TEST_CASE("work that may have run is not repeated", "[mesh]") {
-  RetryTokens tokens(at(0));
+  RetryBudget budget(std::nullopt, at(0));
   AttemptFacts facts;
   facts.Kind = RequestKind::AtMostOnce;
   facts.MaxPossibleRuns = 2;
@@ -149,18 +149,18 @@
   facts.ExpectedLatency = milliseconds(50);
   facts.PossibleRuns = 1;
   facts.End = AttemptEnd::Lost;
-  CHECK(AttemptPolicy::next(facts, tokens, at(0)) == NextStep::ReportUnknown);
+  CHECK(AttemptPolicy::next(facts, budget, at(0)) == NextStep::ReportUnknown);
   facts.End = AttemptEnd::Answered;
   facts.Status = 500;
-  CHECK(AttemptPolicy::next(facts, tokens, at(0)) == NextStep::Deliver);
+  CHECK(AttemptPolicy::next(facts, budget, at(0)) == NextStep::Deliver);
   facts.PossibleRuns = 0;
   facts.End = AttemptEnd::DeclinedByServer;
-  CHECK(AttemptPolicy::next(facts, tokens, at(0)) == NextStep::Retry);
+  CHECK(AttemptPolicy::next(facts, budget, at(0)) == NextStep::Retry);
   facts.TimeLeft = milliseconds(10);
-  CHECK(AttemptPolicy::next(facts, tokens, at(0)) == NextStep::RefuseNotRun);
+  CHECK(AttemptPolicy::next(facts, budget, at(0)) == NextStep::RefuseNotRun);
   facts.Kind = RequestKind::Idempotent;
   facts.PossibleRuns = 1;
-  CHECK(AttemptPolicy::next(facts, tokens, at(0)) == NextStep::ReportUnknown);
+  CHECK(AttemptPolicy::next(facts, budget, at(0)) == NextStep::ReportUnknown);
 }
 
 // Guards against an old state of a host that replaces a newer one, and against
