Check the keys of customers where a request begins

The customers of a configuration are decoded with their keys and priority and kept with its routes. The first daemon of a request looks its key up by a digest, compares it in constant time and decides by the configuration by which it routes the request: 401 without a valid key, 503 if a later configuration may hold it. Between daemons goes the customer's name and the digest of the key, never the key; the daemon beside the server refuses a call whose key a later configuration has taken away, and it is decided anew where it began. The server gets the customer's name whatever the client sent. The customer's priority goes before the route's; with one level of customers the numbers are those of the routes.

Calls of servers carry no key and come to the same address as the requests of clients. They are told apart by what the daemon knows for itself: a request without a key is let in only while the server beside it may be running a call. A header that the client sends, or the route, would prove nothing.

Without customers in the configuration nothing is checked, removed or sent.

--- a/include/chivefold/daemon/call_message.h
+++ b/include/chivefold/daemon/call_message.h
@@ -64,6 +64,10 @@
   std::string RequestId;
   /** Request limit of the chosen server as the caller's daemon knows it. */
   RequestLimit KnownLimit;
+  /** Customer whose key the client stated, or "". */
+  std::string Customer;
+  /** Digest of that key; 0 if there is none. */
+  std::uint64_t KeyDigest = 0;
 
   /** @return Target without the query. */
   std::string_view path() const;
--- a/include/chivefold/mesh/mesh_configuration.h
+++ b/include/chivefold/mesh/mesh_configuration.h
@@ -6,6 +6,7 @@
 #define CHIVEFOLD_MESH_MESH_CONFIGURATION_H
 
 #include "chivefold/core/types.h"
+#include "chivefold/mesh/customer_keys.h"
 
 #include <cstdint>
 #include <map>
@@ -47,6 +48,8 @@
   std::uint32_t MaxAttempts = 1;
   /** At least one; requests are distributed by weight. */
   std::vector<WeightedService> Services;
+  /** Requests need no customer's key. */
+  bool Public = false;
 };
 
 /** @return whether the route sends requests to @p service. Thread-safe. */
@@ -77,6 +80,9 @@
   std::vector<MeshRoute> Routes;
   std::map<std::string, MeshService, std::less<>> Services;
   ClientLimits Limits;
+  /** Absent if requests carry no customers' keys. No key belongs to two
+   * customers. */
+  std::optional<std::vector<MeshCustomer>> Customers;
 };
 
 /** Looks up the route of a request. Immutable; thread-safe. */
@@ -92,6 +98,16 @@
   /** @return the service, or null. */
   const MeshService *service(std::string_view name) const;
 
+  /** @return the keys of the customers, or null if the configuration has no
+   * customers and no key is checked. */
+  const CustomerKeys *keys() const { return Keys ? &*Keys : nullptr; }
+
+  /** @return the priority of a customer's requests on the route, 0 being the
+   * highest: that of the customer goes first, then that of the route. Without a
+   * customer, that of the route. Precondition: both are of this table. */
+  std::uint32_t priority(const MeshCustomer *customer,
+                         const MeshRoute &route) const;
+
   const MeshConfiguration &configuration() const { return Configuration; }
 
 private:
@@ -99,6 +115,11 @@
 
   MeshConfiguration Configuration;
   std::unordered_map<std::string, RoutesByPrefix> RoutesByHostname;
+  std::optional<CustomerKeys> Keys;
+  /** Priorities of the customers, each once, in ascending order. */
+  std::vector<std::uint32_t> CustomerPriorities;
+  /** Number of priorities that a customer's requests may have. */
+  std::uint64_t RoutePriorities = 1;
 };
 
 } // namespace chivefold
--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -71,6 +71,9 @@
   /** A server that answered a call within this time is considered alive,
    * however many answers are lost. Several times the usual service time. */
   static constexpr Duration RecentAnswerWindow = std::chrono::milliseconds(500);
+  /** A server that was sent a call within this time may be running it, although
+   * the call was given up here. */
+  static constexpr Duration MaxRunAfterSend = std::chrono::seconds(5);
   /** A connection that has been idle for longer is not reused for a request
    * that may run at most once: the server may have closed it already. */
   static constexpr Duration MaxReuseIdleTime = std::chrono::seconds(2);
@@ -137,6 +140,9 @@
   GateState gate() const;
   LimitFigures limitFigures() const;
   std::size_t openCalls() const { return Calls.size(); }
+  /** @return whether the server may be running a call. Also true for a while
+   * after the start of this daemon, which may have replaced another one. */
+  bool mayBeRunning() const;
   /** @return how many admitted calls were refused before they were sent, since
    * their server, its version or their route was no longer in use. */
   std::uint64_t revokedCalls() const { return Revoked; }
@@ -159,6 +165,8 @@
     std::uint64_t ServerStart = 0;
   };
 
+  bool checksKeys(const CallMessage &call) const;
+  bool isKeyHeld(const CallMessage &call, const RouteTable &table) const;
   bool isRouted(const CallMessage &call) const;
   ErrorCode reasonToRefuse(const CallMessage &call) const;
   void refuse(const CallReply &reply, ErrorCode code, Duration retryAfter);
@@ -225,6 +233,8 @@
   bool Leaving = false;
   std::uint32_t UnansweredCalls = 0;
   TimePoint AnsweredAt{};
+  /** When a call was last sent, or this daemon started. */
+  TimePoint SentAt;
   /** Starts that shut down. */
   std::deque<Start> EndedStarts;
   /** Starts in whose place another one reported. */
--- a/include/chivefold/sidecar/ports.h
+++ b/include/chivefold/sidecar/ports.h
@@ -29,6 +29,9 @@
   std::string Hostname;
   /** How long the client will wait; absent if not stated. */
   std::optional<Duration> TimeLeft;
+  /** Customer's key; absent if no credentials are stated, "" if they are not a
+   * key. Must not be logged. */
+  std::optional<std::string> Key;
 };
 
 /** Metadata of a request sent to a backend server. */
@@ -38,6 +41,11 @@
   std::string Instance;
   /** Service of the host where the request originated. */
   std::string CallerService;
+  /** Customers' keys are checked: the headers for them come from the sidecar
+   * alone. */
+  bool ChecksKeys = false;
+  /** Customer of the request, or "". */
+  std::string Customer;
 };
 
 /** Metadata of a backend server's response. */
@@ -62,6 +70,10 @@
   virtual ClientRequest readClient(const HttpRequest &request) const = 0;
   /** @return the host name by which a request is routed, or "". */
   virtual std::string_view hostname(const HttpHeaders &fromClient) const = 0;
+  /** @return whether the headers contain credentials. */
+  virtual bool hasKey(const HttpHeaders &fromClient) const = 0;
+  /** @return the headers without credentials and without a customer's name. */
+  virtual HttpHeaders withoutCustomer(const HttpHeaders &fromClient) const = 0;
   /** @return the headers for the server: the client's end-to-end headers plus
    * those that the sidecar sets. */
   virtual HttpHeaders forServer(const HttpHeaders &fromClient,
--- a/include/chivefold/sidecar/proxy_service.h
+++ b/include/chivefold/sidecar/proxy_service.h
@@ -15,6 +15,7 @@
 #include "chivefold/mesh/placement.h"
 #include "chivefold/mesh/service_split.h"
 #include "chivefold/sidecar/backend_service.h"
+#include "chivefold/sidecar/customer_access.h"
 #include "chivefold/sidecar/order_feed.h"
 #include "chivefold/sidecar/ports.h"
 
@@ -71,6 +72,7 @@
   void startLeaving() { Leaving = true; }
 
   std::size_t openRequests() const { return Open.size(); }
+  const AccessCounts &accessCounts() const { return Access.counts(); }
 
 private:
   struct Request;
@@ -81,10 +83,11 @@
   TimePoint inTimeUntil(const MeshRoute &route, const ClientRequest &client,
                         TimePoint now);
   int unroutedStatus(const std::string &hostname) const;
-  bool updateRoute(Request &request);
-  void setRoute(Request &request, const MeshRoute &route) const;
+  int updateRoute(Request &request);
+  void setRoute(Request &request, const MeshRoute &route,
+                const AccessDecision &access) const;
   void attempt(const RequestPtr &request);
-  void finishUnrouted(const RequestPtr &request);
+  void finishUnrouted(const RequestPtr &request, int status);
   void onRouteChanged(const RequestPtr &request, const CallResult &result);
   void sendTo(const RequestPtr &request, const PlacementChoice &choice);
   void onResult(const RequestPtr &request, CallResult result);
@@ -117,6 +120,7 @@
   std::map<std::string, RetryTokens, std::less<>> Tokens;
   ServiceSplit Split;
   AttemptAgeEstimator Ages;
+  CustomerAccess Access;
   Logger Lines{"proxy"};
 };
 
--- a/src/mesh/mesh_configuration.cpp
+++ b/src/mesh/mesh_configuration.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <limits>
+#include <set>
 
 namespace chivefold {
 
@@ -41,7 +43,32 @@
     const auto &route = Configuration.Routes[i];
     RoutesByHostname[canonicalHostname(route.Hostname)].emplace(
         route.PathPrefix, i);
+    RoutePriorities =
+        std::max(RoutePriorities, std::uint64_t{route.Priority} + 1);
   }
+  if (Configuration.Customers) {
+    Keys.emplace(*Configuration.Customers);
+    std::set<std::uint32_t> priorities;
+    for (const auto &it : *Configuration.Customers) {
+      priorities.insert(it.Priority);
+    }
+    CustomerPriorities.assign(priorities.begin(), priorities.end());
+  }
+}
+
+std::uint32_t RouteTable::priority(const MeshCustomer *customer,
+                                   const MeshRoute &route) const {
+  if (customer == nullptr) {
+    return route.Priority;
+  }
+  // The place among the customers' priorities keeps the numbers small.
+  const auto it = std::lower_bound(
+      CustomerPriorities.begin(), CustomerPriorities.end(), customer->Priority);
+  const auto place =
+      static_cast<std::uint64_t>(it - CustomerPriorities.begin());
+  constexpr std::uint64_t max = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(
+      std::min(place * RoutePriorities + route.Priority, max));
 }
 
 const MeshRoute *RouteTable::find(std::string_view hostname,
--- a/src/sidecar/backend_admission.cpp
+++ b/src/sidecar/backend_admission.cpp
@@ -3,6 +3,26 @@
 
 namespace chivefold {
 
+// Whether the daemon where the call began, or this one, checks keys.
+bool BackendService::checksKeys(const CallMessage &call) const {
+  const auto &table = Orders.routes();
+  return !call.Customer.empty() || (table && table->keys() != nullptr);
+}
+
+// Whether a key that was valid for the daemon where the call began still is.
+bool BackendService::isKeyHeld(const CallMessage &call,
+                               const RouteTable &table) const {
+  const auto *keys = table.keys();
+  if (keys == nullptr) {
+    return true;
+  }
+  if (call.KeyDigest != 0) {
+    return keys->holds(call.Customer, static_cast<KeyDigest>(call.KeyDigest));
+  }
+  // That daemon did not know yet that keys are checked.
+  return !Ports.Requests.hasKey(call.Headers);
+}
+
 // Whether the configuration routes the call to its service. A caller's daemon
 // with the same or a later configuration has determined that.
 bool BackendService::isRouted(const CallMessage &call) const {
@@ -13,7 +33,8 @@
   }
   const auto *route =
       table->find(Ports.Requests.hostname(call.Headers), call.path());
-  return route != nullptr && leadsTo(*route, call.Service);
+  return route != nullptr && leadsTo(*route, call.Service) &&
+         isKeyHeld(call, *table);
 }
 
 ErrorCode BackendService::reasonToRefuse(const CallMessage &call) const {
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -37,7 +37,13 @@
     : Loop(reactor), Client(client), Ports(parts.Ports), Orders(parts.Orders),
       Versions(parts.Versions), Poison(parts.Poison),
       Upstream(std::move(place.Server)), Host(std::move(place.Host)),
-      DataCentre(std::move(place.DataCentre)), Changed(std::move(changed)) {}
+      DataCentre(std::move(place.DataCentre)), Changed(std::move(changed)),
+      SentAt(reactor.now()) {}
+
+bool BackendService::mayBeRunning() const {
+  const auto now = Loop.now();
+  return now < SentAt + MaxRunAfterSend || Gate.state(now).InFlight > 0;
+}
 
 Status BackendService::report(const ServerReport &report) {
   if (report.Server.Ip != Upstream.Ip) {
@@ -234,12 +240,14 @@
   call.WasCold = Gate.state(now).Cold;
   call.ServerStart = Statements.limit().ServerStart;
   Sent.record(now);
+  SentAt = now;
   HttpCall http;
   http.Method = call.Message.Method;
   http.Url = "http://" + toString(Upstream) + call.Message.Target;
   http.Headers = Ports.Requests.forServer(
       call.Message.Headers, {call.Message.Deadline - now, call.Message.Instance,
-                             call.Message.CallerService});
+                             call.Message.CallerService,
+                             checksKeys(call.Message), call.Message.Customer});
   http.Body = std::move(call.Message.Body);
   http.Deadline = call.Message.Deadline + AnswerGrace;
   http.AcceptUnframed = true;
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -30,6 +30,8 @@
 struct ProxyService::Request {
   std::shared_ptr<HttpExchange> Exchange;
   std::string Hostname;
+  /** Key that the client stated. */
+  std::optional<std::string> Key;
   /** Configuration of the route, which it keeps alive. */
   std::shared_ptr<const RouteTable> Table;
   const MeshRoute *Route = nullptr;
@@ -59,7 +61,8 @@
                            const ProxyDependencies &parts, Address self,
                            std::string callerService)
     : Loop(reactor), Network(network), Parts(parts), Self(std::move(self)),
-      CallerService(std::move(callerService)) {}
+      CallerService(std::move(callerService)),
+      Access(parts.Ports.Requests, parts.Feed, parts.Backend) {}
 
 ProxyService::~ProxyService() {
   for (const auto &it : Open) {
@@ -114,19 +117,27 @@
     // Clients of this host use another host until the daemon has restarted.
     return exchange->respond(refusal(503, LeavingRetryAfter));
   }
+  const auto access = Access.check(*table, *route, client.Key, client.Id);
+  if (access.RefusalStatus != 0) {
+    return exchange->respond(
+        access.RefusalStatus == 503
+            ? refusal(access.RefusalStatus, DefaultRetryAfter)
+            : HttpResponse{access.RefusalStatus, {}, ""});
+  }
   auto request = std::make_shared<Request>();
   request->Exchange = exchange;
   request->Hostname = client.Hostname;
+  request->Key = client.Key;
   request->Table = table;
   request->ReceivedAt = now;
   request->Deadline =
       now + std::min(route->Timeout, client.TimeLeft.value_or(route->Timeout));
   auto &call = request->Call;
-  setRoute(*request, *route);
+  call.Headers = received.Headers;
+  setRoute(*request, *route, access);
   call.Service = Split.choose(*route);
   call.Method = received.Method;
   call.Target = pathAndQuery(received);
-  call.Headers = received.Headers;
   call.Body = received.Body;
   call.Deadline = request->Deadline;
   call.InTimeUntil = inTimeUntil(*route, client, now);
@@ -171,38 +182,45 @@
   return Tokens.try_emplace(service, Loop.now()).first->second;
 }
 
-void ProxyService::setRoute(Request &request, const MeshRoute &route) const {
+void ProxyService::setRoute(Request &request, const MeshRoute &route,
+                            const AccessDecision &access) const {
   request.Route = &route;
   auto &call = request.Call;
-  call.Worth = route.Priority;
+  Access.apply(access, *request.Table, route, request.Key, call);
   call.Repeatable = route.Kind == RequestKind::Idempotent;
   call.Route = route.Name;
   call.ConfigurationVersion = request.Table->configuration().Version;
 }
 
 // Routes a request again if the configuration has changed since. Deadline and
-// target latency stay. @return false if it no longer has a route.
-bool ProxyService::updateRoute(Request &request) {
+// target latency stay. @return the status of its refusal if it no longer has a
+// route or a customer's key, else 0.
+int ProxyService::updateRoute(Request &request) {
   const auto &table = Parts.Orders.routes();
   if (table == request.Table) {
-    return true;
+    return 0;
   }
   const auto *route = table->find(request.Hostname, request.Call.path());
   if (route == nullptr) {
-    return false;
+    return unroutedStatus(request.Hostname);
+  }
+  const auto access =
+      Access.check(*table, *route, request.Key, request.Call.RequestId);
+  if (access.RefusalStatus != 0) {
+    return access.RefusalStatus;
   }
   request.Table = table;
-  setRoute(request, *route);
+  setRoute(request, *route, access);
   if (!leadsTo(*route, request.Call.Service)) {
     request.Call.Service = Split.choose(*route);
     request.Tried.clear();
   }
-  return true;
+  return 0;
 }
 
 void ProxyService::attempt(const RequestPtr &request) {
-  if (!updateRoute(*request)) {
-    return finishUnrouted(request);
+  if (const int status = updateRoute(*request); status != 0) {
+    return finishUnrouted(request, status);
   }
   // The route may permit fewer runs than it did at the last attempt.
   if (request->Runs > 0 && (request->Route->Kind == RequestKind::AtMostOnce ||
@@ -213,7 +231,7 @@
   PlacementRequest wanted;
   wanted.Service = request->Call.Service;
   wanted.Route = request->Route->Name;
-  wanted.Priority = request->Route->Priority;
+  wanted.Priority = request->Call.Worth;
   wanted.TargetLatency = request->Route->TargetLatency;
   wanted.Tried = &request->Tried;
   const auto choice = Parts.Servers.choose(wanted, now);
@@ -360,11 +378,11 @@
       servers.cancelled(request.Peer);
       break;
     }
-    servers.refused(request.Peer, result.Gate, request.Route->Priority,
+    servers.refused(request.Peer, result.Gate, request.Call.Worth,
                     result.RetryAfter, now);
     break;
   case AttemptEnd::DeclinedByServer:
-    servers.refused(request.Peer, result.Gate, request.Route->Priority,
+    servers.refused(request.Peer, result.Gate, request.Call.Worth,
                     DefaultRetryAfter, now);
     break;
   default:
@@ -449,9 +467,8 @@
   return request->Runs > 0 ? reportUnknown(request) : refuse(request, result);
 }
 
-// Ends a request that the configuration in force does not route.
-void ProxyService::finishUnrouted(const RequestPtr &request) {
-  const int status = unroutedStatus(request->Hostname);
+// Ends a request that the configuration in force does not route or allow.
+void ProxyService::finishUnrouted(const RequestPtr &request, int status) {
   Lines.info("the configuration no longer routes a request",
              {{"request", request->Call.RequestId},
               {"route", request->Route->Name},
@@ -551,7 +568,7 @@
                {{"request", request->Call.RequestId},
                 {"route", request->Route->Name},
                 {"service", request->Call.Service},
-                {"priority", std::uint64_t{request->Route->Priority}},
+                {"priority", std::uint64_t{request->Call.Worth}},
                 {"outcome", outcomeName(outcome)},
                 {"status", static_cast<std::uint64_t>(response.Status)},
                 {"attempts", std::uint64_t{request->Attempts}},
--- a/tests/unit/sidecar_lab.h
+++ b/tests/unit/sidecar_lab.h
@@ -125,6 +125,8 @@
   std::string Service;
   std::string Instance;
   std::string Version;
+  /** As the server received them. */
+  HttpHeaders Headers;
 };
 
 /** A host: its sidecar and its backend server, which refuses requests for other
@@ -212,7 +214,7 @@
       return exchange->respond({421, {}, ""});
     }
     const std::string id(headerValue(headers, "Chivefold-Request-Id"));
-    Runs.push_back({id, Service, Instance, Version});
+    Runs.push_back({id, Service, Instance, Version, headers});
     if (IsSilent) {
       Running.push_back(exchange);
       return;
@@ -265,16 +267,27 @@
     return *Hosts.back();
   }
 
+  /** Customers of the configurations that are written; none if empty. */
+  nlohmann::json Customers;
+  /** Routes of these configurations that need no key. */
+  std::vector<std::string> PublicPaths;
+
   /** Writes a configuration that routes the path "/x/" to @p service, if it is
    * not empty, and "/t/" to service "t". */
   void configure(std::uint64_t version, const std::string &service,
                  const std::string &kind = "unsafe") {
     using Json = nlohmann::json;
     const auto route = [&](const std::string &prefix, const std::string &to) {
-      return Json{{"name", prefix},       {"hostname", "shop.example"},
-                  {"pathPrefix", prefix}, {"routeType", kind},
-                  {"service", to},        {"timeoutMs", 8000},
-                  {"priority", 1},        {"maxAttempts", 2}};
+      return Json{{"name", prefix},
+                  {"hostname", "shop.example"},
+                  {"pathPrefix", prefix},
+                  {"routeType", kind},
+                  {"service", to},
+                  {"timeoutMs", 8000},
+                  {"priority", 1},
+                  {"maxAttempts", 2},
+                  {"public", std::count(PublicPaths.begin(), PublicPaths.end(),
+                                        prefix) > 0}};
     };
     Json out{{"version", "r" + std::to_string(version)},
              {"routes", {route("/t/", "t")}},
@@ -284,12 +297,16 @@
     if (!service.empty()) {
       out["routes"].push_back(route("/x/", service));
     }
+    if (!Customers.empty()) {
+      out["tenants"] = Customers;
+    }
     Store.write(KeyedStream::Orders, "config", out.dump());
   }
 
   /** Sends a request of a client on @p host. */
   std::shared_ptr<LabCall> call(const LabHost &host,
-                                const std::string &path = "/x/1") {
+                                const std::string &path = "/x/1",
+                                const HttpHeaders &headers = {}) {
     auto out = std::make_shared<LabCall>();
     out->Id = "q-" + std::to_string(Calls.size());
     Calls.push_back(out);
@@ -299,6 +316,7 @@
     http.Headers = {{"Host", "shop.example"},
                     {"Chivefold-Request-Id", out->Id},
                     {"Chivefold-Deadline-Ms", "6000"}};
+    http.Headers.insert(http.Headers.end(), headers.begin(), headers.end());
     http.Body = "work";
     http.Deadline = Loop.now() + std::chrono::seconds(10);
     http.FreshConnection = true;
