--- a/src/sidecar/proxy_request.h
+++ b/src/sidecar/proxy_request.h
@@ -23,6 +23,8 @@
 struct ProxyService::Request {
   std::shared_ptr<HttpExchange> Exchange;
   std::string Hostname;
+  /** Key that the client stated. */
+  std::optional<std::string> Key;
   /** Configuration of the route, which it keeps alive. */
   std::shared_ptr<const RouteTable> Table;
   const MeshRoute *Route = nullptr;
--- a/src/sidecar/proxy_routing.cpp
+++ b/src/sidecar/proxy_routing.cpp
@@ -61,19 +61,27 @@
     // Clients of this host use another host until the daemon has restarted.
     return exchange->respond(refusal(503, LeavingRetryAfter));
   }
+  const auto access = Access.check(*table, *route, client.Key, client.Id);
+  if (access.RefusalStatus != 0) {
+    return exchange->respond(
+        access.RefusalStatus == 503
+            ? refusal(access.RefusalStatus, DefaultRetryAfter)
+            : HttpResponse{access.RefusalStatus, {}, ""});
+  }
   auto request = std::make_shared<Request>();
   request->Exchange = exchange;
   request->Hostname = client.Hostname;
+  request->Key = client.Key;
   request->Table = table;
   request->ReceivedAt = now;
   request->Deadline =
       now + std::min(route->Timeout, client.TimeLeft.value_or(route->Timeout));
   auto &call = request->Call;
-  setRoute(*request, *route);
+  call.Headers = received.Headers;
+  setRoute(*request, *route, access);
   call.Service = Split.choose(*route);
   call.Method = received.Method;
   call.Target = pathAndQuery(received);
-  call.Headers = received.Headers;
   call.Body = received.Body;
   call.Deadline = request->Deadline;
   call.InTimeUntil = inTimeUntil(*route, client, now);
@@ -114,33 +122,40 @@
   return now + route.TargetLatency - age;
 }
 
-void ProxyService::setRoute(Request &request, const MeshRoute &route) const {
+void ProxyService::setRoute(Request &request, const MeshRoute &route,
+                            const AccessDecision &access) const {
   request.Route = &route;
   auto &call = request.Call;
-  call.Worth = route.Priority;
+  Access.apply(access, *request.Table, route, request.Key, call);
   call.Repeatable = route.Kind == RequestKind::Idempotent;
   call.Route = route.Name;
   call.ConfigurationVersion = request.Table->configuration().Version;
 }
 
 // Routes a request again if the configuration has changed since. Deadline and
-// target latency stay. @return false if it no longer has a route.
-bool ProxyService::updateRoute(Request &request) {
+// target latency stay. @return the status of its refusal if it no longer has a
+// route or a customer's key, else 0.
+int ProxyService::updateRoute(Request &request) {
   const auto &table = Parts.Orders.routes();
   if (table == request.Table) {
-    return true;
+    return 0;
   }
   const auto *route = table->find(request.Hostname, request.Call.path());
   if (route == nullptr) {
-    return false;
+    return unroutedStatus(request.Hostname);
+  }
+  const auto access =
+      Access.check(*table, *route, request.Key, request.Call.RequestId);
+  if (access.RefusalStatus != 0) {
+    return access.RefusalStatus;
   }
   request.Table = table;
-  setRoute(request, *route);
+  setRoute(request, *route, access);
   if (!leadsTo(*route, request.Call.Service)) {
     request.Call.Service = Split.choose(*route);
     request.Tried.clear();
   }
-  return true;
+  return 0;
 }
 
 // The daemon beside the server has a configuration that routes the request
@@ -184,9 +199,8 @@
   }
 }
 
-// Ends a request that the configuration in force does not route.
-void ProxyService::finishUnrouted(const RequestPtr &request) {
-  const int status = unroutedStatus(request->Hostname);
+// Ends a request that the configuration in force does not route or allow.
+void ProxyService::finishUnrouted(const RequestPtr &request, int status) {
   Lines.info("the configuration no longer routes a request",
              {{"request", request->Call.RequestId},
               {"route", request->Route->Name},
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -12,7 +12,8 @@
                            const ProxyDependencies &parts, Address self,
                            std::string callerService)
     : Loop(reactor), Network(network), Parts(parts), Self(std::move(self)),
-      CallerService(std::move(callerService)) {}
+      CallerService(std::move(callerService)),
+      Access(parts.Ports.Requests, parts.Feed, parts.Backend) {}
 
 ProxyService::~ProxyService() {
   for (const auto &it : Open) {
@@ -30,8 +31,8 @@
 }
 
 void ProxyService::attempt(const RequestPtr &request) {
-  if (!updateRoute(*request)) {
-    return finishUnrouted(request);
+  if (const int status = updateRoute(*request); status != 0) {
+    return finishUnrouted(request, status);
   }
   // The route may permit fewer runs than it did at the last attempt.
   if (request->Runs > 0 && (request->Route->Kind == RequestKind::AtMostOnce ||
@@ -42,7 +43,7 @@
   PlacementRequest wanted;
   wanted.Service = request->Call.Service;
   wanted.Route = request->Route->Name;
-  wanted.Priority = request->Route->Priority;
+  wanted.Priority = request->Call.Worth;
   wanted.TargetLatency = request->Route->TargetLatency;
   wanted.Tried = &request->Tried;
   const auto choice = Parts.Servers.choose(wanted, now);
@@ -150,11 +151,11 @@
       servers.cancelled(request.Peer);
       break;
     }
-    servers.refused(request.Peer, result.Gate, request.Route->Priority,
+    servers.refused(request.Peer, result.Gate, request.Call.Worth,
                     result.RetryAfter, now);
     break;
   case AttemptEnd::DeclinedByServer:
-    servers.refused(request.Peer, result.Gate, request.Route->Priority,
+    servers.refused(request.Peer, result.Gate, request.Call.Worth,
                     DefaultRetryAfter, now);
     break;
   default:
@@ -173,7 +174,7 @@
   facts.Status = result.Status;
   facts.CallRefused = result.CallRefused;
   facts.Kind = request->Route->Kind;
-  facts.Priority = request->Route->Priority;
+  facts.Priority = request->Call.Worth;
   facts.Hosts = Parts.Servers.fleetSize();
   facts.PossibleRuns = request->Runs;
   facts.MaxPossibleRuns = request->Route->MaxAttempts;
@@ -329,7 +330,7 @@
                {{"request", request->Call.RequestId},
                 {"route", request->Route->Name},
                 {"service", request->Call.Service},
-                {"priority", std::uint64_t{request->Route->Priority}},
+                {"priority", std::uint64_t{request->Call.Worth}},
                 {"outcome", outcomeName(outcome)},
                 {"status", static_cast<std::uint64_t>(response.Status)},
                 {"attempts", std::uint64_t{request->Attempts}},
