--- a/include/chivefold/mesh/placement.h
+++ b/include/chivefold/mesh/placement.h
@@ -11,6 +11,7 @@
 #include "chivefold/mesh/operator_state.h"
 #include "chivefold/mesh/version_policy.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <optional>
@@ -202,6 +203,13 @@
     bool AnyWithinLimit = false;
   };
 
+  /** Retry-after time when no server of the service can be used. */
+  static constexpr Duration NoServerRetryAfter = std::chrono::milliseconds(500);
+
+  static std::size_t priorityLevel(std::uint32_t priority) {
+    return std::min<std::size_t>(priority, PriorityLevels - 1);
+  }
+
   bool acceptsRequests(const HostEntry &entry) const;
   std::vector<const HostState *>
   eligibleServers(const std::vector<Address> &hosts) const;
