Choose servers by the work that they still have to do

- CostModel and DurationDistribution: service times by route as histograms, with the expected rest of a request that is running.
- ServicePace: typical service time of a server and its disturbance.
- OutstandingWork: what the gate still has to do, in time; travels as backlog in GateState with answers and refusals.
- FleetPace: slowness of each server apart from the cost of a route.

--- a/include/chivefold/core/gate.h
+++ b/include/chivefold/core/gate.h
@@ -59,6 +59,12 @@
   Duration LimitWait{};
   /** The server stated that it shuts down. */
   bool ServerLeaving = false;
+  /** Expected time until a new request would start. */
+  Duration Backlog{};
+  /** In an answer, the time that the request took at the server and the typical
+   * one of its route there, both apart from queues; zero if not known. */
+  Duration ServiceTime{};
+  Duration TypicalServiceTime{};
 };
 
 struct GateRequest {
--- a/include/chivefold/mesh/placement.h
+++ b/include/chivefold/mesh/placement.h
@@ -7,6 +7,7 @@
 
 #include "chivefold/core/gate.h"
 #include "chivefold/core/types.h"
+#include "chivefold/mesh/fleet_pace.h"
 #include "chivefold/mesh/fleet_table.h"
 #include "chivefold/mesh/operator_state.h"
 #include "chivefold/mesh/version_policy.h"
@@ -17,15 +18,32 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace chivefold {
 
+/** How a server is chosen. */
+enum class PlacementStrategy : std::uint8_t {
+  /** By mean latency and the number of requests. */
+  Latency,
+  /** By the expected finish, from the work that servers still have to do and
+   * the distribution of service times. */
+  ExpectedWork,
+  /** ExpectedWork for services whose servers prove to differ in speed, else
+   * Latency. */
+  Learned
+};
+
+/** @return "latency", "expected-work" or "learned". Thread-safe. */
+std::string_view placementStrategyName(PlacementStrategy strategy);
+
 /** Constants of the value that a server has for a request. Values and costs are
  * in units of LowestWorth; those called relative are fractions of the worth of
  * the request. */
 struct PlacementSettings {
+  PlacementStrategy Strategy = PlacementStrategy::Learned;
   /** Cost of a kilobyte that crosses data centres. Lies between the costs of
    * the two deployments. */
   double RemoteKilobyteCost = 0.1;
@@ -39,6 +57,11 @@
   /** Relative value lost per target latency of expected latency, so that the
    * faster of two servers that answer in time is chosen. */
   double LatencyPenalty = 0.1;
+  /** The same for the expected wait and service time where the choice is by
+   * expected work. A wait counts more, because a request that waits for a slot
+   * makes later ones wait, too. */
+  double WaitPenalty = 0.6;
+  double ServicePenalty = 0.05;
   /** Relative value lost with a server whose calls all fail; less in proportion
    * to the error rate. */
   double ErrorPenalty = 1.0;
@@ -70,6 +93,9 @@
   /** Hosts that already had an attempt and must not be chosen again; may be
    * null. */
   const std::vector<Address> *Tried = nullptr;
+  /** Time until which an answer has its full value; if not set, TargetLatency
+   * from now. */
+  TimePoint InTimeUntil = TimePoint::max();
 };
 
 /** The chosen server, or when to try again. */
@@ -82,6 +108,8 @@
   std::string Version;
   /** Expected latency of the chosen server. */
   Duration ExpectedLatency{};
+  /** Strategy by which it was chosen; never Learned. */
+  PlacementStrategy Strategy = PlacementStrategy::Latency;
   /** Used if Peer is empty: time until the client may try again. */
   Duration RetryAfter{};
   /** Number of servers that this request may try. */
@@ -91,14 +119,15 @@
 /**
  * Load balancer that chooses the server with the highest expected value. That
  * is the value of an answer within the target latency or after it, less the
- * cost of the bytes that cross data centres. The expected latency is computed
- * from the server's measured latencies, from the load and the wait for its
- * request limit that its gate last reported, and from the requests that this
- * daemon has in progress there. It
- * therefore avoids slow and failing servers, evens out load, and tries servers
- * again that have recovered. A choice takes time linear in the servers of the
- * service, and up to quadratic in those of the target version during a rollout.
- * Not thread-safe.
+ * cost of the bytes that cross data centres. Where servers differ in speed, the
+ * probabilities follow from the work that each server still has to do, its
+ * speed and the distribution of service times. Otherwise the expected latency
+ * is computed from the server's measured latencies, from the load and the wait
+ * for its request limit that its gate last reported, and from the requests that
+ * this daemon has in progress there. It therefore avoids slow and failing
+ * servers, evens out load, and tries servers again that have recovered. A
+ * choice takes time linear in the servers of the service, and up to quadratic
+ * in those of the target version during a rollout. Not thread-safe.
  */
 class Placement {
 public:
@@ -171,6 +200,12 @@
      * if the gate refuses all requests. */
     std::uint32_t Limit = 0;
     TimePoint GateStateAt{};
+    /** Work beyond the free slots, per slot and in units of the service time
+     * there; negative while slots are free. As reported at GateStateAt, and its
+     * moving average over reports. */
+    double ExcessWork = 0;
+    double MeanExcessWork = 0;
+    bool HasExcessWork = false;
     /** Moving average of latency relative to the average of the route. */
     double LatencyRatio = 1;
     TimePoint LatencyRatioAt{};
@@ -196,6 +231,19 @@
     double Bytes = 0;
   };
 
+  /** A server that may be chosen. */
+  struct Candidate {
+    const HostState *Host = nullptr;
+    double Value = 0;
+    double ExpectedUs = 0;
+  };
+
+  /** Whether servers of a service differ in speed. */
+  struct SpeedEvidence {
+    bool IsUneven = false;
+    TimePoint Until{};
+  };
+
   /** Whether the data centre of this daemon has servers of a service, and
    * whether the request limit of one of them lets a request start now. */
   struct LocalServers {
@@ -210,6 +258,11 @@
     return std::min<std::size_t>(priority, PriorityLevels - 1);
   }
 
+  /** Worth of a request by its priority. The platform defines only the order of
+   * priorities, not their worth. */
+  static double worthOf(std::uint32_t priority);
+  static Duration targetLatency(const PlacementRequest &request);
+
   bool acceptsRequests(const HostEntry &entry) const;
   std::vector<const HostState *>
   eligibleServers(const std::vector<Address> &hosts) const;
@@ -226,14 +279,27 @@
   bool mayTry(const HostState &host, const PlacementRequest &request,
               TimePoint now) const;
   double decay(TimePoint since, TimePoint now) const;
-  double expectedValue(const HostState &host, const PlacementRequest &request,
-                       TimePoint now, double &expectedUs) const;
   double expectedLatencyUs(const HostState &host, double routeLatencyUs,
                            TimePoint now, double &errorRate) const;
+  Candidate rateByLatency(const HostState &host,
+                          const PlacementRequest &request, TimePoint now) const;
+  double inTimeProbabilityByMean(Duration finish, Duration left) const;
+  double valueOf(const HostState &host, const PlacementRequest &request,
+                 double inTimeProbability, double latencyPenalty,
+                 double errorRate) const;
+  double errorRate(const Address &peer, TimePoint now) const;
+  bool choosesByWork(const std::string &service,
+                     const std::vector<Address> &hosts, TimePoint now);
+  Duration workWait(const HostState &host, Duration cost, TimePoint now) const;
+  Candidate rateByWork(const HostState &host, const PlacementRequest &request,
+                       TimePoint now) const;
+  const Candidate &selectBest(std::vector<Candidate> &candidates);
   double outstandingRequests(const ServerLoad &load, TimePoint now) const;
   ServerLoad &endRequest(const Address &peer);
   static void updateGateState(ServerLoad &load, const GateState &gate,
                               TimePoint now);
+  void updateExcessWork(const Address &peer, const GateState &gate,
+                        const std::string &route, TimePoint now);
   void updateErrorRate(ServerLoad &load, double weight, bool failed,
                        TimePoint now) const;
   bool isTargetTurn(const std::string &service,
@@ -254,6 +320,9 @@
   std::unordered_map<std::string, std::vector<Address>> ByService;
   std::unordered_map<Address, ServerLoad> Loads;
   std::unordered_map<std::string, RouteStats> Routes;
+  FleetPace Pace;
+  /** By service; erased with its last host. */
+  std::unordered_map<std::string, SpeedEvidence> Evidence;
   /** Requests owed to the target version of each service's rollout, in basis
    * points: every request sent adds the target's share, and every one sent to
    * the target subtracts FullShare. */
--- a/include/chivefold/mesh/slot_gate.h
+++ b/include/chivefold/mesh/slot_gate.h
@@ -7,6 +7,7 @@
 
 #include "chivefold/core/gate.h"
 #include "chivefold/core/types.h"
+#include "chivefold/mesh/outstanding_work.h"
 #include "chivefold/mesh/request_pacer.h"
 
 #include <cstdint>
@@ -162,6 +163,9 @@
   /** @return expected service time of a route. */
   Duration expectedServiceTime(const std::string &route) const;
 
+  /** @return what the server still has to do, and what its work costs. */
+  const OutstandingWork &work() const { return Work; }
+
 private:
   /** Position in the queue. */
   struct Key {
@@ -235,6 +239,7 @@
   std::unordered_map<std::string, double> RouteServiceTimes;
   /** Moving average over all routes, in microseconds. */
   double MeanServiceTime = 0;
+  OutstandingWork Work;
 };
 
 } // namespace chivefold
--- a/src/daemon/call_message.cpp
+++ b/src/daemon/call_message.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <limits>
+
 #include <strings.h>
 
 namespace chivefold {
@@ -62,6 +63,12 @@
   return static_cast<std::uint32_t>(std::max<std::int64_t>(ms.count(), 0));
 }
 
+std::uint32_t toUs(Duration d) {
+  constexpr std::int64_t most = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(d.count(), 0, most));
+}
+
 // Absent on the wire if nothing is known.
 std::unique_ptr<wire::RequestLimitT> limitToWire(const RequestLimit &limit,
                                                  TimePoint now) {
@@ -173,6 +180,9 @@
   to->request_limit = limitToWire(gate.StatedLimit, now);
   to->limit_wait_ms = toMs(gate.LimitWait);
   to->server_leaving = gate.ServerLeaving;
+  to->backlog_ms = toMs(gate.Backlog);
+  to->service_us = toUs(gate.ServiceTime);
+  to->typical_service_us = toUs(gate.TypicalServiceTime);
   return to;
 }
 
@@ -187,7 +197,10 @@
           gate->leaving,
           limitFromWire(gate->request_limit.get(), now),
           std::chrono::milliseconds(gate->limit_wait_ms),
-          gate->server_leaving};
+          gate->server_leaving,
+          std::chrono::milliseconds(gate->backlog_ms),
+          Duration(gate->service_us),
+          Duration(gate->typical_service_us)};
 }
 
 wire::CallAnswerT toWire(const CallResult &result, TimePoint now) {
--- a/src/mesh/placement.cpp
+++ b/src/mesh/placement.cpp
@@ -10,8 +10,15 @@
  * would all choose the same server. */
 constexpr double Jitter = 0.01;
 
+constexpr std::array<std::string_view, 3> StrategyNames{
+    "latency", "expected-work", "learned"};
+
 } // namespace
 
+std::string_view placementStrategyName(PlacementStrategy strategy) {
+  return StrategyNames.at(static_cast<std::size_t>(strategy));
+}
+
 Placement::Placement(const FleetTable &fleet, const OperatorState &orders,
                      VersionPolicy &versions, Address self,
                      std::string dataCentre, std::uint64_t seed,
@@ -34,8 +41,26 @@
   for (auto it = Loads.begin(); it != Loads.end();) {
     const bool known =
         Fleet.find(it->first) != nullptr || it->second.OwnRequests > 0;
+    if (!known) {
+      Pace.erase(it->first);
+    }
     it = known ? std::next(it) : Loads.erase(it);
   }
+  for (auto it = Evidence.begin(); it != Evidence.end();) {
+    it = ByService.count(it->first) > 0 ? std::next(it) : Evidence.erase(it);
+  }
+}
+
+// Chooses the server of the highest value. Precondition: there is a candidate.
+const Placement::Candidate &
+Placement::selectBest(std::vector<Candidate> &candidates) {
+  std::uniform_real_distribution<double> jitter(0, Jitter);
+  for (auto &it : candidates) {
+    it.Value += jitter(Random);
+  }
+  return *std::max_element(
+      candidates.begin(), candidates.end(),
+      [](const auto &a, const auto &b) { return a.Value < b.Value; });
 }
 
 PlacementChoice Placement::choose(const PlacementRequest &request,
@@ -57,10 +82,9 @@
   const auto targets =
       wantsTarget ? targetServers(candidates, *split) : std::vector<Address>{};
   const auto local = localServers(candidates, now);
-  std::uniform_real_distribution<double> jitter(0, Jitter);
-  double bestValue = 0;
-  const HostState *chosen = nullptr;
-  bool chosenIsWantedVersion = false;
+  const bool byWork = choosesByWork(request.Service, hosts->second, now);
+  std::vector<Candidate> rated;
+  bool haveWantedVersion = false;
   std::optional<Duration> soonest;
   for (const auto *host : candidates) {
     if (!mayTry(*host, request, now)) {
@@ -76,27 +100,28 @@
     // empty unless this request is due to it.
     const bool isTarget = split && host->Server.Version == split->Target;
     const bool isWantedVersion = isTarget == wantsTarget;
-    if (isTarget && std::find(targets.begin(), targets.end(), host->Peer) ==
-                        targets.end()) {
+    if ((isTarget && std::find(targets.begin(), targets.end(), host->Peer) ==
+                         targets.end()) ||
+        (haveWantedVersion && !isWantedVersion)) {
       continue;
     }
-    double expectedUs = 0;
-    const double candidateValue =
-        expectedValue(*host, request, now, expectedUs) + jitter(Random);
-    if (chosen == nullptr || (isWantedVersion && !chosenIsWantedVersion) ||
-        (isWantedVersion == chosenIsWantedVersion &&
-         candidateValue > bestValue)) {
-      bestValue = candidateValue;
-      chosen = host;
-      chosenIsWantedVersion = isWantedVersion;
-      out.ExpectedLatency = Duration(static_cast<std::int64_t>(expectedUs));
+    if (isWantedVersion && !haveWantedVersion) {
+      haveWantedVersion = true;
+      rated.clear();
     }
+    rated.push_back(byWork ? rateByWork(*host, request, now)
+                           : rateByLatency(*host, request, now));
   }
-  if (chosen != nullptr) {
-    out.Peer = chosen->Peer;
-    out.Instance = chosen->Server.Instance;
-    out.ServerStart = chosen->Server.Start;
-    out.Version = chosen->Server.Version;
+  if (!rated.empty()) {
+    const auto &chosen = selectBest(rated);
+    out.Peer = chosen.Host->Peer;
+    out.Instance = chosen.Host->Server.Instance;
+    out.ServerStart = chosen.Host->Server.Start;
+    out.Version = chosen.Host->Server.Version;
+    out.ExpectedLatency =
+        Duration(static_cast<std::int64_t>(chosen.ExpectedUs));
+    out.Strategy =
+        byWork ? PlacementStrategy::ExpectedWork : PlacementStrategy::Latency;
   }
   out.RetryAfter = soonest.value_or(NoServerRetryAfter);
   return out;
--- a/src/mesh/placement_loads.cpp
+++ b/src/mesh/placement_loads.cpp
@@ -12,6 +12,8 @@
 /** Bounds of the latency ratio of a single call. */
 constexpr double MinLatencyRatio = 0.3;
 constexpr double MaxLatencyRatio = 20;
+/** Weight of the newest report in the mean excess work of a server. */
+constexpr double MeanExcessWeight = 0.2;
 
 } // namespace
 
@@ -58,6 +60,31 @@
   load.ErrorRateAt = now;
 }
 
+// A server with free slots has room for work; one without has a wait that its
+// gate states.
+void Placement::updateExcessWork(const Address &peer, const GateState &gate,
+                                 const std::string &route, TimePoint now) {
+  if (gate.Limit == 0) {
+    return;
+  }
+  auto &load = Loads[peer];
+  const double serviceUs =
+      std::max(1.0, static_cast<double>(Pace.costs().expected(route).count()) *
+                        Pace.slowness(peer, now));
+  const double free =
+      gate.Queued > 0 || gate.InFlight >= gate.Limit
+          ? 0
+          : static_cast<double>(gate.Limit - gate.InFlight) / gate.Limit;
+  load.ExcessWork =
+      free > 0 ? -free : static_cast<double>(gate.Backlog.count()) / serviceUs;
+  load.MeanExcessWork =
+      load.HasExcessWork
+          ? load.MeanExcessWork +
+                MeanExcessWeight * (load.ExcessWork - load.MeanExcessWork)
+          : load.ExcessWork;
+  load.HasExcessWork = true;
+}
+
 void Placement::answered(const Address &peer, const std::string &route,
                          Duration latency, std::size_t bytes, bool serverError,
                          const GateState &gate, TimePoint now) {
@@ -67,6 +94,8 @@
   if (serverError) {
     return;
   }
+  Pace.record(peer, route, gate.ServiceTime, gate.TypicalServiceTime, now);
+  updateExcessWork(peer, gate, route, now);
   if (Routes.size() >= MaxRoutes && Routes.count(route) == 0) {
     return;
   }
@@ -91,6 +120,7 @@
                         TimePoint now) {
   auto &load = endRequest(peer);
   updateGateState(load, gate, now);
+  updateExcessWork(peer, gate, {}, now);
   const bool isClosed = gate.Limit == 0;
   const bool isLimited = gate.LimitWait > Duration::zero();
   const auto until = now + std::min(retryAfter, isClosed || isLimited
--- a/src/mesh/placement_value.cpp
+++ b/src/mesh/placement_value.cpp
@@ -12,16 +12,14 @@
 constexpr double InitialLatencyUs = 50'000;
 constexpr double InitialBytes = 1'000;
 /** Target latency of a route that states none. */
-constexpr double DefaultTargetUs = 500'000;
-
-/** Worth of a request by its priority. The platform defines only the order of
- * priorities, not their worth. */
-double worthOf(std::uint32_t priority) {
-  return priority >= 2 ? Placement::LowestWorth : 3.0 - priority;
-}
+constexpr Duration DefaultTarget = std::chrono::milliseconds(500);
 
 } // namespace
 
+double Placement::worthOf(std::uint32_t priority) {
+  return priority >= 2 ? LowestWorth : 3.0 - priority;
+}
+
 double Placement::decay(TimePoint since, TimePoint now) const {
   return std::exp2(-static_cast<double>((now - since).count()) /
                    static_cast<double>(Settings.HalfLife.count()));
@@ -62,31 +60,59 @@
               occupancyWeight * std::min(1.0, outstanding / slots));
 }
 
-double Placement::expectedValue(const HostState &host,
-                                const PlacementRequest &request, TimePoint now,
-                                double &expectedUs) const {
+double Placement::errorRate(const Address &peer, TimePoint now) const {
+  const auto it = Loads.find(peer);
+  return it == Loads.end()
+             ? 0
+             : it->second.ErrorRate * decay(it->second.ErrorRateAt, now);
+}
+
+Duration Placement::targetLatency(const PlacementRequest &request) {
+  return request.TargetLatency > Duration::zero() ? request.TargetLatency
+                                                  : DefaultTarget;
+}
+
+double Placement::inTimeProbabilityByMean(Duration finish,
+                                          Duration left) const {
+  const double ratio = static_cast<double>(finish.count()) /
+                       std::max(1.0, static_cast<double>(left.count()));
+  return 1 / (1 + std::pow(ratio, Settings.LatenessExponent));
+}
+
+Placement::Candidate Placement::rateByLatency(const HostState &host,
+                                              const PlacementRequest &request,
+                                              TimePoint now) const {
   const auto stats = Routes.find(request.Route);
-  const bool known = stats != Routes.end();
   double errorRate = 0;
-  expectedUs = expectedLatencyUs(
-      host, known ? stats->second.LatencyUs : InitialLatencyUs, now, errorRate);
-  const double targetUs =
-      request.TargetLatency > Duration::zero()
-          ? static_cast<double>(request.TargetLatency.count())
-          : DefaultTargetUs;
-  const double ratio = expectedUs / targetUs;
+  Candidate out;
+  out.Host = &host;
+  out.ExpectedUs = expectedLatencyUs(
+      host, stats == Routes.end() ? InitialLatencyUs : stats->second.LatencyUs,
+      now, errorRate);
+  const double ratio =
+      out.ExpectedUs / static_cast<double>(targetLatency(request).count());
   const double inTimeProbability =
       1 / (1 + std::pow(ratio, Settings.LatenessExponent));
+  out.Value = valueOf(host, request, inTimeProbability,
+                      Settings.LatencyPenalty * ratio, errorRate);
+  return out;
+}
+
+double Placement::valueOf(const HostState &host,
+                          const PlacementRequest &request,
+                          double inTimeProbability, double latencyPenalty,
+                          double errorRate) const {
   const double worth = worthOf(request.Priority);
-  double out =
-      worth *
-      (inTimeProbability + (1 - inTimeProbability) * Settings.LateAnswerValue -
-       Settings.LatencyPenalty * ratio - Settings.ErrorPenalty * errorRate);
+  double out = worth * (inTimeProbability +
+                        (1 - inTimeProbability) * Settings.LateAnswerValue -
+                        latencyPenalty - Settings.ErrorPenalty * errorRate);
   if (host.Peer != Self) {
     out -= Settings.RemoteHostPenalty;
   }
   if (host.DataCentre != DataCentre) {
-    const double bytes = known ? stats->second.Bytes : InitialBytes;
+    const auto stats = Routes.find(request.Route);
+    const double bytes =
+        stats == Routes.end() ? InitialBytes : stats->second.Bytes;
     out -=
         (bytes + Settings.OverheadBytes) / 1000 * Settings.RemoteKilobyteCost;
   }
--- /dev/null
+++ b/src/mesh/placement_work.cpp
@@ -0,0 +1,108 @@
+// Choice by the expected finish of a request.
+#include "chivefold/mesh/placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chivefold {
+
+namespace {
+
+constexpr double Pi = 3.14159265358979323846;
+/** Time for which the evidence that servers are unlike is kept. */
+constexpr Duration EvidenceTime = std::chrono::milliseconds(500);
+
+// Returns the mean of the positive part of a normally distributed value.
+double expectedPositivePart(double mean, double deviation) {
+  const double z = mean / deviation;
+  const double density = std::exp(-z * z / 2) / std::sqrt(2 * Pi);
+  const double probability = std::erfc(-z / std::sqrt(2.0)) / 2;
+  return mean * probability + deviation * density;
+}
+
+} // namespace
+
+bool Placement::choosesByWork(const std::string &service,
+                              const std::vector<Address> &hosts,
+                              TimePoint now) {
+  switch (Settings.Strategy) {
+  case PlacementStrategy::Latency:
+    return false;
+  case PlacementStrategy::ExpectedWork:
+    return true;
+  case PlacementStrategy::Learned:
+    break;
+  }
+  auto &evidence = Evidence[service];
+  if (now >= evidence.Until) {
+    evidence.IsUneven = Pace.isUneven(hosts, evidence.IsUneven, now);
+    evidence.Until = now + EvidenceTime;
+  }
+  return evidence.IsUneven;
+}
+
+// Estimates how long a request would wait for a slot. What was reported loses
+// its meaning within the time in which a server renews its work; then the mean
+// of the reports counts, and what the server has to do is uncertain. Requests
+// that this daemon has sent since add to it.
+Duration Placement::workWait(const HostState &host, Duration cost,
+                             TimePoint now) const {
+  const auto it = Loads.find(host.Peer);
+  if (it == Loads.end()) {
+    return Duration::zero();
+  }
+  const auto &load = it->second;
+  const double slots =
+      load.Limit > 0 ? load.Limit : std::max(host.Server.Slots, 1U);
+  const auto costUs = std::max(1.0, static_cast<double>(cost.count()));
+  const double freshness =
+      std::exp(-static_cast<double>((now - load.GateStateAt).count()) / costUs);
+  // Without reports a server counts as idle after a while, so that it is tried
+  // again.
+  const double mean =
+      (load.MeanExcessWork + 1) * decay(load.GateStateAt, now) - 1;
+  const auto sent = std::min(load.SentSinceReport, load.OwnRequests);
+  const double excess =
+      mean + freshness * (load.ExcessWork - mean) + (sent + 1) / slots;
+  const double deviation =
+      std::sqrt((1 - freshness * freshness) / slots) + 1e-3;
+  const double wait = expectedPositivePart(excess, deviation) * costUs;
+  return Duration(static_cast<Duration::rep>(wait)) + limitWait(host, now);
+}
+
+Placement::Candidate Placement::rateByWork(const HostState &host,
+                                           const PlacementRequest &request,
+                                           TimePoint now) const {
+  const auto &costs = Pace.costs();
+  const double slowness = Pace.slowness(host.Peer, now);
+  const auto onServer = [slowness](Duration d) {
+    return Duration(
+        static_cast<Duration::rep>(static_cast<double>(d.count()) * slowness));
+  };
+  const auto cost = onServer(costs.expected(request.Route));
+  const auto wait = workWait(host, cost, now);
+  const auto finish = wait + cost;
+  const auto left = request.InTimeUntil == TimePoint::max()
+                        ? targetLatency(request)
+                        : request.InTimeUntil - now;
+  const auto *times = costs.find(request.Route);
+  const auto forService =
+      static_cast<double>(std::max(left - wait, Duration::zero()).count());
+  const double inTimeProbability =
+      times == nullptr
+          ? inTimeProbabilityByMean(finish, left)
+          : times->probabilityWithin(
+                Duration(static_cast<Duration::rep>(forService / slowness)));
+  Candidate out;
+  out.Host = &host;
+  out.ExpectedUs = static_cast<double>(finish.count());
+  const double penalty =
+      (Settings.WaitPenalty * static_cast<double>(wait.count()) +
+       Settings.ServicePenalty * static_cast<double>(cost.count())) /
+      static_cast<double>(targetLatency(request).count());
+  out.Value = valueOf(host, request, inTimeProbability, penalty,
+                      errorRate(host.Peer, now));
+  return out;
+}
+
+} // namespace chivefold
--- a/src/mesh/slot_gate.cpp
+++ b/src/mesh/slot_gate.cpp
@@ -16,7 +16,8 @@
 
 SlotGate::SlotGate(const SlotGateTuning &tuning)
     : Tuning(tuning),
-      MeanServiceTime(static_cast<double>(Tuning.InitialServiceTime.count())) {}
+      MeanServiceTime(static_cast<double>(Tuning.InitialServiceTime.count())),
+      Work(Tuning.InitialServiceTime) {}
 
 void SlotGate::open(std::uint32_t slots, std::uint32_t connections) {
   Open = true;
@@ -31,6 +32,7 @@
   std::vector<GateRequestId> dropped;
   for (const auto &it : Queue) {
     dropped.push_back(it.second.Id);
+    Work.ended(it.second.Id, std::nullopt);
   }
   Queue.clear();
   QueuedIds.clear();
@@ -224,6 +226,7 @@
   Queue.emplace(key, QueuedRequest{request.Id, request.Deadline,
                                    request.InTimeUntil, request.Route});
   QueuedIds.emplace(request.Id, key);
+  Work.queued(request.Id, request.Route);
   return {AdmissionKind::Queued, ErrorCode::Ok, {}};
 }
 
@@ -245,6 +248,7 @@
 void SlotGate::markRunning(GateRequestId id, const std::string &route,
                            TimePoint now) {
   Running.emplace(id, route);
+  Work.started(id, route, now);
   dropOldStarts(now);
   RecentStarts.push_back(now);
   Pacer.started(now);
@@ -316,6 +320,9 @@
                                                   : std::next(it);
   }
   dropExcessLate(ids);
+  for (const auto id : ids) {
+    Work.ended(id, std::nullopt);
+  }
   return ids;
 }
 
@@ -345,6 +352,7 @@
     }
   }
   Running.erase(it);
+  Work.ended(id, latency);
 }
 
 bool SlotGate::cancel(GateRequestId id) {
@@ -354,6 +362,7 @@
   }
   Queue.erase(it->second);
   QueuedIds.erase(it);
+  Work.ended(id, std::nullopt);
   return true;
 }
 
@@ -386,6 +395,7 @@
   out.Queued = static_cast<std::uint32_t>(Queue.size());
   out.Cold = isCold(now);
   out.Leaving = !Open;
+  out.Backlog = Work.backlog(out.Limit, now);
   out.LimitWait = Pacer.wait(Queue.size(), now);
   if (out.Cold && ColdRate > 0 && Open) {
     // Requests that a cold server has in progress at its rate, by Little's law.
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -378,10 +378,13 @@
                             std::optional<Duration> latency) {
   const auto it = Calls.find(id);
   const auto reply = std::move(it->second.Reply);
+  const auto route = std::move(it->second.Message.Route);
   Calls.erase(it);
   Gate.finished(id, latency);
   runWaiting();
   result.Gate = gate();
+  result.Gate.ServiceTime = latency.value_or(Duration::zero());
+  result.Gate.TypicalServiceTime = Gate.work().pace().typical(route);
   reply(std::move(result));
 }
 
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -216,6 +216,7 @@
   wanted.Priority = request->Route->Priority;
   wanted.TargetLatency = request->Route->TargetLatency;
   wanted.Tried = &request->Tried;
+  wanted.InTimeUntil = request->Call.InTimeUntil;
   const auto choice = Parts.Servers.choose(wanted, now);
   if (!choice.Peer) {
     CallResult none = failedCall(Outcome::NotRun, ErrorCode::NotFound, 503,
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -35,6 +35,12 @@
   std::uint64_t Hosts = 0;
 };
 
+PlacementSettings placementSettings(PlacementStrategy strategy) {
+  PlacementSettings out;
+  out.Strategy = strategy;
+  return out;
+}
+
 // Peer traffic in the Prometheus text format.
 std::string trafficMetrics(const PeerNetwork &network) {
   std::string out;
@@ -172,7 +178,8 @@
       Orders(ports.Orders), Versions(Orders), Hosts(Seeds()),
       Plan(Hosts, Own.PeerListen, Own.DataCentre, Seeds()),
       Readers(Hosts, Own.PeerListen, Own.DataCentre),
-      Servers(Hosts, Orders, Versions, Own.PeerListen, Own.DataCentre, Seeds()),
+      Servers(Hosts, Orders, Versions, Own.PeerListen, Own.DataCentre, Seeds(),
+              placementSettings(Own.Strategy)),
       CallMetrics(MetricsSettings()), ServerHttp(Loop, InitialConnections),
       Network(Loop, Own.PeerListen,
               [this](const Address & /*link*/, wire::FrameBodyUnion &body,
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -3,6 +3,7 @@
 #include "chivefold/daemon/command_line.h"
 
 #include <cstdlib>
+#include <map>
 
 namespace chivefold {
 
@@ -33,6 +34,24 @@
   add("--store", s.Store, "address of the platform's store");
 }
 
+void addPlacementOptions(CLI::App &app, SidecarSettings &s) {
+  static const std::map<std::string, PlacementStrategy> names = [] {
+    std::map<std::string, PlacementStrategy> out;
+    for (const auto it :
+         {PlacementStrategy::Latency, PlacementStrategy::ExpectedWork,
+          PlacementStrategy::Learned}) {
+      out.emplace(placementStrategyName(it), it);
+    }
+    return out;
+  }();
+  bindEnvironmentVariable(
+      app.add_option("--placement", s.Strategy,
+                     "how servers are chosen: latency, expected-work, or "
+                     "learned: by expected work where servers prove to differ "
+                     "in speed (default)"))
+      ->transform(CLI::CheckedTransformer(names));
+}
+
 } // namespace
 
 ParsedSidecarSettings parseSidecarSettings(int argc, const char *const *argv) {
@@ -66,6 +85,7 @@
                      "requests that a bad version may receive in addition"))
       ->check(CLI::Range(0.0, MaxExposureSlack))
       ->capture_default_str();
+  addPlacementOptions(app, s);
   addLogLevelOption(app, s.LogLevel);
   if (auto exit = parseCommandLine(app, "chivefold-sidecar", argc, argv)) {
     parsed.Output = std::move(exit->Output);
