--- a/include/chivefold/sidecar/sidecar_settings.h
+++ b/include/chivefold/sidecar/sidecar_settings.h
@@ -7,6 +7,7 @@
 
 #include "chivefold/core/types.h"
 #include "chivefold/mesh/exposure_budget.h"
+#include "chivefold/mesh/placement.h"
 #include "chivefold/mesh/retry_budget.h"
 
 #include <optional>
@@ -34,6 +35,8 @@
   ExposureLimit Exposure;
   /** Repeated attempts that the operator allows; absent if not stated. */
   std::optional<RetryTerms> Retries;
+  /** How servers are chosen for requests. */
+  PlacementStrategy Strategy = PlacementStrategy::Learned;
   /** Maximum duration of a planned stop. */
   Duration GracePeriod = std::chrono::seconds(6);
   /** Path of the settings file; "" if there is none. */
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -3,6 +3,7 @@
 #include "chivefold/daemon/command_line.h"
 
 #include <cstdlib>
+#include <map>
 
 namespace chivefold {
 
@@ -72,7 +73,25 @@
   return RetryTerms{options.Ratio, options.Slack,
                     std::chrono::duration_cast<Duration>(
                         std::chrono::duration<double>(options.WindowSeconds))};
-}
+
+  void addPlacementOptions(CLI::App & app, SidecarSettings & s) {
+    static const std::map<std::string, PlacementStrategy> names = [] {
+      std::map<std::string, PlacementStrategy> out;
+      for (const auto it :
+           {PlacementStrategy::Latency, PlacementStrategy::ExpectedWork,
+            PlacementStrategy::Learned}) {
+        out.emplace(placementStrategyName(it), it);
+      }
+      return out;
+    }();
+    bindEnvironmentVariable(
+        app.add_option(
+            "--placement", s.Strategy,
+            "how servers are chosen: latency, expected-work, or "
+            "learned: by expected work where servers prove to differ "
+            "in speed (default)"))
+        ->transform(CLI::CheckedTransformer(names));
+  }
 
 } // namespace
 
@@ -109,6 +128,7 @@
       ->capture_default_str();
   RetryOptions retries;
   addRetryOptions(app, retries);
+  addPlacementOptions(app, s);
   addLogLevelOption(app, s.LogLevel);
   if (auto exit = parseCommandLine(app, "chivefold-sidecar", argc, argv)) {
     parsed.Output = std::move(exit->Output);
