--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -73,25 +73,25 @@
   return RetryTerms{options.Ratio, options.Slack,
                     std::chrono::duration_cast<Duration>(
                         std::chrono::duration<double>(options.WindowSeconds))};
+}
 
-  void addPlacementOptions(CLI::App & app, SidecarSettings & s) {
-    static const std::map<std::string, PlacementStrategy> names = [] {
-      std::map<std::string, PlacementStrategy> out;
-      for (const auto it :
-           {PlacementStrategy::Latency, PlacementStrategy::ExpectedWork,
-            PlacementStrategy::Learned}) {
-        out.emplace(placementStrategyName(it), it);
-      }
-      return out;
-    }();
-    bindEnvironmentVariable(
-        app.add_option(
-            "--placement", s.Strategy,
-            "how servers are chosen: latency, expected-work, or "
-            "learned: by expected work where servers prove to differ "
-            "in speed (default)"))
-        ->transform(CLI::CheckedTransformer(names));
-  }
+void addPlacementOptions(CLI::App &app, SidecarSettings &s) {
+  static const std::map<std::string, PlacementStrategy> names = [] {
+    std::map<std::string, PlacementStrategy> out;
+    for (const auto it :
+         {PlacementStrategy::Latency, PlacementStrategy::ExpectedWork,
+          PlacementStrategy::Learned}) {
+      out.emplace(placementStrategyName(it), it);
+    }
+    return out;
+  }();
+  bindEnvironmentVariable(
+      app.add_option("--placement", s.Strategy,
+                     "how servers are chosen: latency, expected-work, or "
+                     "learned: by expected work where servers prove to differ "
+                     "in speed (default)"))
+      ->transform(CLI::CheckedTransformer(names));
+}
 
 } // namespace
 
