--- a/include/chivefold/mesh/fleet_pace.h
+++ b/include/chivefold/mesh/fleet_pace.h
@@ -48,9 +48,9 @@
   /** @return costs of requests on an average server. */
   const CostModel &costs() const { return Costs; }
 
-  /** Whether servers differ lastingly: at least a quarter of those with a known
+  /** Whether servers differ lastingly: at least a fifth of those with a known
    * slowness, four or more, is far from their median. @param before whether
-   * they did when last asked; then a sixth is enough. */
+   * they did when last asked; then an eighth is enough. */
   bool isUneven(const std::vector<Address> &peers, bool before,
                 TimePoint now) const;
 
--- a/include/chivefold/mesh/service_pace.h
+++ b/include/chivefold/mesh/service_pace.h
@@ -23,8 +23,11 @@
 class ServicePace {
 public:
   static constexpr std::size_t MaxRoutes = 1024;
-  /** Calls from which a typical service time is stated. */
-  static constexpr unsigned MinCalls = 8;
+  /** Calls from which a typical service time is stated, so that a disturbance
+   * at the start is not taken for the speed of the server. */
+  static constexpr unsigned MinCalls = 96;
+  /** Calls from which a disturbance is told. */
+  static constexpr unsigned MinCallsBefore = 8;
   /** Bounds of the disturbance factor. */
   static constexpr double MinDisturbance = 0.5;
   static constexpr double MaxDisturbance = 8;
--- a/src/mesh/fleet_pace.cpp
+++ b/src/mesh/fleet_pace.cpp
@@ -15,7 +15,7 @@
 constexpr double SlownessWeight = 0.1;
 /** Natural logarithm of the factor from which a server is far from the median.
  */
-constexpr double FarFromMedian = 0.25;
+constexpr double FarFromMedian = 0.35;
 constexpr std::size_t MinServers = 4;
 
 double logOf(Duration d) { return std::log(static_cast<double>(d.count())); }
@@ -87,7 +87,7 @@
       std::count_if(values.begin(), values.end(), [median](double it) {
         return std::abs(it - median) > FarFromMedian;
       });
-  return static_cast<std::size_t>(far) * (before ? 6 : 4) >= values.size();
+  return static_cast<std::size_t>(far) * (before ? 8 : 5) >= values.size();
 }
 
 } // namespace chivefold
--- a/src/mesh/placement_work.cpp
+++ b/src/mesh/placement_work.cpp
@@ -55,12 +55,18 @@
   const double slots =
       load.Limit > 0 ? load.Limit : std::max(host.Server.Slots, 1U);
   const auto costUs = std::max(1.0, static_cast<double>(cost.count()));
-  const double freshness =
-      std::exp(-static_cast<double>((now - load.GateStateAt).count()) / costUs);
-  // Without reports a server counts as idle after a while, so that it is tried
-  // again.
+  const auto age = static_cast<double>(
+      std::max(now - load.GateStateAt, Duration::zero()).count());
+  const double freshness = std::exp(-age / costUs);
+  // Without reports a queue is taken to end soon, and the server to be idle
+  // after a while, so that it is tried again.
+  const double known = load.MeanExcessWork > 0
+                           ? load.MeanExcessWork * decay(load.GateStateAt, now)
+                           : load.MeanExcessWork;
   const double mean =
-      (load.MeanExcessWork + 1) * decay(load.GateStateAt, now) - 1;
+      (known + 1) *
+          std::exp2(-age / static_cast<double>(FleetPace::HalfLife.count())) -
+      1;
   const auto sent = std::min(load.SentSinceReport, load.OwnRequests);
   const double excess =
       mean + freshness * (load.ExcessWork - mean) + (sent + 1) / slots;
--- a/src/mesh/service_pace.cpp
+++ b/src/mesh/service_pace.cpp
@@ -25,7 +25,7 @@
   const double logUs =
       std::log(std::max(1.0, static_cast<double>(serviceTime.count())));
   auto &pace = Routes[route];
-  if (pace.Calls >= MinCalls) {
+  if (pace.Calls >= MinCallsBefore) {
     const double step = std::clamp(logUs - pace.LogUs, -MaxLogStep, MaxLogStep);
     const double known = logDisturbance(now);
     LogDisturbance =
