--- a/tests/unit/sidecar_lab.h
+++ b/tests/unit/sidecar_lab.h
@@ -160,7 +160,7 @@
     call.Url =
         "http://" + toString(Settings.AdminListen) + "/-/instances/" + Instance;
     call.Body =
-        Json{{"address", toString(Server.bound())},
+        Json{{"address", toString(RawServer.value_or(Server.bound()))},
              {"born", BornMs},
              {"info",
               {{"service", Service},
@@ -196,6 +196,8 @@
   std::int64_t BornMs = 1;
   std::uint64_t Sequence = 0;
   std::uint32_t Slots = 8;
+  /** Stands in place of the backend server from its next start on. */
+  std::optional<Address> RawServer;
   /** The server runs requests and never answers. */
   bool IsSilent = false;
   std::vector<ServerRun> Runs;
