Take a status outside 100 to 599 as no answer

Cause: the parser accepts any three digits, the channel took all that are not 1xx as final, and nothing behind it checked the range.

Change: the channel fails the exchange when such a head is complete and closes the connection; a frame with such a status is an unknown outcome, its gate's state is used; chivefoldd's gate counts it as an error of the server and not as its death; the operator's command reports a failure.

Ruled out: ErrorCode::ConnectionFailed for it, by which a live server would count as killed by the request; awaiting the body, which need not end; waiting for another answer when the head names another request, since its bytes can't be trusted to end where they seem to.

--- a/src/daemon/call_message.cpp
+++ b/src/daemon/call_message.cpp
@@ -1,5 +1,7 @@
 #include "chivefold/daemon/call_message.h"
 
+#include "chivefold/io/http_status.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -92,6 +94,22 @@
   return out;
 }
 
+// A daemon of an earlier version passes on what a server in trouble sent as its
+// status. That is no answer; the state of the gate still holds.
+CallResult withValidStatus(CallResult result) {
+  if (isFinalStatus(result.Status)) {
+    return result;
+  }
+  if (result.Result == Outcome::Answered) {
+    auto failed =
+        failedCall(Outcome::Unknown, ErrorCode::OutcomeUnknown, 502, {});
+    failed.Gate = result.Gate;
+    return failed;
+  }
+  result.Status = result.Result == Outcome::NotRun ? 503 : 502;
+  return result;
+}
+
 } // namespace
 
 std::string_view CallMessage::path() const {
@@ -216,7 +234,7 @@
   result.RetryAfter = std::chrono::milliseconds(answer.retry_after_ms);
   result.Gate = gateFromWire(answer.gate.get(), now);
   result.CallRefused = answer.call_refused;
-  return result;
+  return withValidStatus(std::move(result));
 }
 
 std::optional<CallResult> callAnswer(PeerOutcome &outcome, TimePoint now) {
--- a/src/daemon/gate_service.cpp
+++ b/src/daemon/gate_service.cpp
@@ -138,6 +138,7 @@
   }
   const auto code = outcome.Response.reason().Code;
   result = code == ErrorCode::DeadlineExceeded ? ServerResult::TimedOut
+           : code == ErrorCode::OutcomeUnknown ? ServerResult::ServerError
                                                : ServerResult::ConnectionFailed;
   if (!outcome.MayHaveRun) {
     return failedCall(Outcome::NotRun, code, StatusNotRun, DefaultRetryAfter);
--- a/src/daemon/operator_http.cpp
+++ b/src/daemon/operator_http.cpp
@@ -1,5 +1,7 @@
 #include "chivefold/daemon/operator_commands.h"
 
+#include "chivefold/io/http_status.h"
+
 #include <cstdlib>
 #include <curl/curl.h>
 
@@ -85,6 +87,11 @@
     }
     long status = 0;
     curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &status);
+    if (!isFinalStatus(static_cast<int>(status))) {
+      return Reason{ErrorCode::ConnectionFailed, "the status " +
+                                                     std::to_string(status) +
+                                                     " is out of range"};
+    }
     response.Status = static_cast<int>(status);
     return response;
   }
--- a/src/io/http_channel.cpp
+++ b/src/io/http_channel.cpp
@@ -1,5 +1,7 @@
 #include "http_channel.h"
 
+#include "chivefold/io/http_status.h"
+
 #include "http_io.h"
 
 #include <algorithm>
@@ -232,8 +234,18 @@
          "malformed response: " + ec.message());
     return false;
   }
-  if (Current->is_header_done() && Current->get().result_int() / 100 == 1) {
-    return skipResponse();
+  if (Current->is_header_done()) {
+    const auto status = static_cast<int>(Current->get().result_int());
+    if (isInterimStatus(status)) {
+      return skipResponse();
+    }
+    // Whatever follows such a head is not HTTP either, so a body is not awaited
+    // and the connection is closed.
+    if (!isFinalStatus(status)) {
+      fail(ErrorCode::OutcomeUnknown,
+           "the status " + std::to_string(status) + " is out of range");
+      return false;
+    }
   }
   if (Current->is_done()) {
     succeed();
--- a/tests/unit/invalid_status_test.cpp
+++ b/tests/unit/invalid_status_test.cpp
@@ -275,6 +275,7 @@
   const auto refusal = received(0, Outcome::NotRun);
   REQUIRE(refusal);
   CHECK(refusal->Result == Outcome::NotRun);
+  CHECK(refusal->Status == 503);
   CHECK(refusal->RetryAfter == std::chrono::milliseconds(7));
 }
 
