Order calls of running requests by the request behind them

- CallParents estimates the running request behind a call from the errors that follow refused calls.
The call carries that rank, gains at most one, and goes before new work of it.
Its target is the later of its own and its parent's.
- A full queue gives the place of the last least urgent request to more urgent work; each kind keeps a sixth of the queue.
- The margin before a target is at most 0.6 of the route's time until it.
A route whose answers take over two thirds of its target was late as a whole, so that less urgent work went first.
- New work is refused by the pace at which the queue of its kind drains.

--- a/include/chivefold/daemon/call_message.h
+++ b/include/chivefold/daemon/call_message.h
@@ -64,7 +64,14 @@
   std::string RequestId;
   /** Request limit of the chosen server as the caller's daemon knows it. */
   RequestLimit KnownLimit;
-
+  /** The request is a call of one that runs at the server beside the caller's
+   * daemon. */
+  bool ForRunning = false;
+  /** Rank of that request; used if ForRunning. 0 is the most urgent. */
+  std::uint32_t RunningRank = 0;
+
+  /** @return the rank by which the request is queued and placed. */
+  std::uint32_t rank() const { return ForRunning ? RunningRank : Worth; }
   /** @return Target without the query. */
   std::string_view path() const;
 };
--- a/include/chivefold/mesh/refused_calls.h
+++ b/include/chivefold/mesh/refused_calls.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -44,9 +45,9 @@
    * no answer from a backend server. */
   void recordRefusal(const std::string &route, TimePoint now);
   /** Matches an error answer of the server with the refusal that most likely
-   * caused it; a refusal is matched with one error only. @return whether that
-   * refusal is of a route that the server calls. */
-  bool matchError(TimePoint now);
+   * caused it; a refusal is matched with one error only. @return the route of
+   * that refusal if the server calls it. */
+  std::optional<std::string> matchError(TimePoint now);
   /** @return whether the server itself calls @p route. */
   bool isOutboundRoute(const std::string &route) const;
 
--- a/include/chivefold/mesh/slot_gate.h
+++ b/include/chivefold/mesh/slot_gate.h
@@ -7,6 +7,7 @@
 
 #include "chivefold/core/gate.h"
 #include "chivefold/core/types.h"
+#include "chivefold/mesh/class_pace.h"
 #include "chivefold/mesh/request_pacer.h"
 
 #include <cstdint>
@@ -31,6 +32,9 @@
   /** Time until which an answer has its full value, by the target latency of
    * the route. */
   TimePoint InTimeUntil = TimePoint::max();
+  /** A call of a request that runs at another server, which is useless without
+   * it. Goes before new work of its priority. */
+  bool ForRunning = false;
 };
 
 /** Decision on a new request. A rejected request was certainly not run. */
@@ -38,16 +42,22 @@
   AdmissionKind Kind = AdmissionKind::Run;
   /** Set if rejected: NotReady, Overloaded or RateLimited. */
   ErrorCode Code = ErrorCode::Ok;
-  /** Set if rejected: time until the caller may try this server again. */
+  /** Set if rejected or displacing: time until the caller of the rejected or
+   * the displaced request may try this server again. */
   Duration RetryAfter{};
+  /** Queued request of less urgent work whose place the new one takes; it was
+   * certainly not run. */
+  std::optional<GateRequestId> Displaced = std::nullopt;
 };
 
-/** Requests that the stated limit of a server affected. */
+/** Requests that the stated limit of a server or more urgent work affected. */
 struct LimitEffects {
   /** Requests that were queued until the limit let them start. */
   std::uint64_t Held = 0;
   /** Requests that were rejected because of the limit. */
   std::uint64_t Rejected = 0;
+  /** Queued requests whose places more urgent ones took. */
+  std::uint64_t Displaced = 0;
 };
 
 /** Constants of a slot gate. */
@@ -67,6 +77,11 @@
    * time is left until its target. Above 1, because a third of calls take
    * longer than the mean. */
   double TargetMarginFactor = 1.5;
+  /** The same, as a part of the time that requests of the route have until
+   * their target when they arrive; the smaller one applies. Without it, all
+   * requests of a route whose answers take over two thirds of its target would
+   * count as late, and less urgent work would go before them. */
+  double TargetMarginShare = 0.6;
   /** Weight of the newest call in the expected service time. */
   double ServiceTimeWeight = 0.1;
   /** Expected service time before the first call ends. */
@@ -74,6 +89,9 @@
   /** One in this many starts goes to a waiting request of another priority than
    * the head of the queue, so that one priority cannot starve the others. */
   std::uint32_t OtherPriorityInterval = 6;
+  /** Part of the queue bound that more urgent requests leave to each less
+   * urgent kind of work: as much as its share of the starts can serve. */
+  double KeptQueueShare = 1.0 / 6;
   /** Fraction of a stated request limit up to which requests start that would
    * be late or rejected otherwise. Operators tolerate 1.5 over 4 s. */
   double LimitOverflow = 1.4;
@@ -86,9 +104,11 @@
  * Limits a server's concurrency to its slots, its request rate to the limit
  * that it states, and that of a cold server to its stated rate. Queued requests
  * that can still meet their target latency run before those that will be late;
- * each of the two groups runs in order of priority, then of arrival. A request
- * that cannot end before its deadline is rejected, on arrival or as soon as
- * that becomes clear in the queue.
+ * each of the two groups runs in order of priority, calls of running requests
+ * before new work of their priority, then in order of arrival. If the queue is
+ * full, a request takes the place of the last less urgent one. A request that
+ * cannot end before its deadline is rejected, on arrival or as soon as that
+ * becomes clear in the queue.
  *
  * The gate protects servers that never answer requests which they cannot queue
  * from bursts. The order of its queue is for lasting overload, in which serving
@@ -167,11 +187,12 @@
   struct Key {
     /** Whether the request will miss its target latency. */
     bool Late;
-    std::uint32_t Priority;
+    /** Priority, and whether the request is new work: see classOf(). */
+    std::uint64_t Class;
     std::uint64_t Sequence;
     bool operator<(const Key &o) const {
-      return std::tie(Late, Priority, Sequence) <
-             std::tie(o.Late, o.Priority, o.Sequence);
+      return std::tie(Late, Class, Sequence) <
+             std::tie(o.Late, o.Class, o.Sequence);
     }
   };
   struct QueuedRequest {
@@ -184,15 +205,24 @@
   /** Lower bound of the keys of late requests. */
   static constexpr Key LateBegin{true, 0, 0};
 
+  static std::uint64_t classOf(const SlotRequest &request) {
+    return std::uint64_t{request.Priority} * 2 + (request.ForRunning ? 0 : 1);
+  }
   RequestQueue::iterator selectNext();
   RequestQueue::iterator endOfHeadClass();
   bool wouldMissTarget(TimePoint inTimeUntil, const std::string &route,
                        TimePoint start) const;
+  void recordTarget(const SlotRequest &request, TimePoint now);
   void demoteLate(TimePoint now);
   RequestQueue::iterator removeQueued(RequestQueue::iterator it,
                                       std::vector<GateRequestId> &ids);
   void dropExcessLate(std::vector<GateRequestId> &ids);
+  std::size_t queuedOfClass(const Key &key) const;
+  Duration waitOf(const Key &key, std::size_t ahead, TimePoint now) const;
+  double queueBound(bool late) const;
   bool hasRoom(const Key &key) const;
+  RequestQueue::iterator displaceableFor(const Key &key);
+  SlotAdmission displaceFor(const Key &key, TimePoint now);
   std::size_t startsAheadOf(const Key &key);
   bool hasFreeSlot(TimePoint now) const;
   bool mayStart(TimePoint now) const;
@@ -226,6 +256,7 @@
    * last started or none was waiting. */
   std::uint32_t HeadClassStarts = 0;
   RequestQueue Queue;
+  ClassPace Paces;
   std::unordered_map<GateRequestId, Key> QueuedIds;
   /** Route of each running request; bounded by Limit. */
   std::unordered_map<GateRequestId, std::string> Running;
@@ -233,6 +264,9 @@
   std::deque<TimePoint> RecentStarts;
   /** Moving average of each route, in microseconds. */
   std::unordered_map<std::string, double> RouteServiceTimes;
+  /** Time until the target of each route on arrival, in microseconds; follows
+   * the requests with the most time. */
+  std::unordered_map<std::string, double> RouteTargetTimes;
   /** Moving average over all routes, in microseconds. */
   double MeanServiceTime = 0;
 };
--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -11,6 +11,7 @@
 #include "chivefold/io/http_client.h"
 #include "chivefold/io/logging.h"
 #include "chivefold/mesh/call_counts.h"
+#include "chivefold/mesh/call_parents.h"
 #include "chivefold/mesh/refused_calls.h"
 #include "chivefold/mesh/server_statements.h"
 #include "chivefold/mesh/slot_gate.h"
@@ -45,6 +46,8 @@
   /** Answers with a malformed limit. */
   std::uint64_t Malformed = 0;
   LimitEffects Effects;
+  /** Requests at the gate that were calls of running requests. */
+  std::uint64_t CallsOfRunning = 0;
 };
 
 /** Location of the backend server and of its host. */
@@ -132,6 +135,14 @@
    * server may have made some of them, which can explain its own errors. */
   RefusedCallTracker &refusedCalls() { return Refused; }
 
+  /** @return the running request behind a request from this host; nothing if
+   * that is a client's as far as is known. */
+  std::optional<RunningRequest> parentOf(const std::string &route,
+                                         TimePoint deadline) const {
+    return Refused.isOutboundRoute(route) ? Parents.parentOf(route, deadline)
+                                          : std::nullopt;
+  }
+
   const BackendServerState &server() const { return Server; }
   /** @return the state of the gate and the server's request limit. */
   GateState gate() const;
@@ -163,6 +174,7 @@
   ErrorCode reasonToRefuse(const CallMessage &call) const;
   void refuse(const CallReply &reply, ErrorCode code, Duration retryAfter);
   void send(BackendCallId id);
+  bool isCausedByRefusal(const std::string &route, const CallResult &result);
   void onOutcome(BackendCallId id, HttpOutcome outcome);
   CallResult resultOf(const Call &call, HttpOutcome &outcome);
   void adoptLimit(const CallMessage &call);
@@ -172,7 +184,8 @@
   void applyStatement(const Call &call, const HttpResponse &response);
   void finish(BackendCallId id, CallResult result,
               std::optional<Duration> latency);
-  void drop(const std::vector<GateRequestId> &ids, ErrorCode code);
+  void drop(const std::vector<GateRequestId> &ids, ErrorCode code,
+            std::optional<Duration> retryAfter = std::nullopt);
   void refuseUnservable();
   void refuseUnsent(BackendCallId id);
   void runWaiting();
@@ -237,6 +250,7 @@
   TimerId Timer = TimerId::None;
   TimePoint TimerAt{};
   RefusedCallTracker Refused;
+  CallParents Parents;
   /** Requests whose connections broke since the server last answered. */
   std::vector<RequestDigest> Interrupted;
   TimePoint InterruptedAt{};
@@ -245,6 +259,7 @@
   RateMeter Sent;
   std::uint64_t MalformedLimits = 0;
   std::uint64_t Revoked = 0;
+  std::uint64_t CallsOfRunning = 0;
   Logger Lines{"backend"};
 };
 
--- a/include/chivefold/sidecar/proxy_service.h
+++ b/include/chivefold/sidecar/proxy_service.h
@@ -80,6 +80,8 @@
                       const ClientRequest &client);
   TimePoint inTimeUntil(const MeshRoute &route, const ClientRequest &client,
                         TimePoint now);
+  void joinParent(CallMessage &call, const MeshRoute &route,
+                  const ClientRequest &client, TimePoint now);
   int unroutedStatus(const std::string &hostname) const;
   bool updateRoute(Request &request);
   void setRoute(Request &request, const MeshRoute &route) const;
--- a/src/daemon/call_message.cpp
+++ b/src/daemon/call_message.cpp
@@ -132,6 +132,8 @@
   to.caller_service = call.CallerService;
   to.request_id = call.RequestId;
   to.request_limit = limitToWire(call.KnownLimit, now);
+  to.for_running = call.ForRunning;
+  to.rank = call.RunningRank;
   return to;
 }
 
@@ -159,6 +161,8 @@
   call.CallerService = std::move(request.caller_service);
   call.RequestId = std::move(request.request_id);
   call.KnownLimit = limitFromWire(request.request_limit.get(), now);
+  call.ForRunning = request.for_running;
+  call.RunningRank = request.rank;
   return call;
 }
 
--- a/src/mesh/refused_calls.cpp
+++ b/src/mesh/refused_calls.cpp
@@ -31,7 +31,7 @@
          it->second.matchRatio() >= MinMatchRatio;
 }
 
-bool RefusedCallTracker::matchError(TimePoint now) {
+std::optional<std::string> RefusedCallTracker::matchError(TimePoint now) {
   while (!UnmatchedRefusals.empty() &&
          UnmatchedRefusals.front().At + MaxErrorDelay < now) {
     UnmatchedRefusals.pop_front();
@@ -45,12 +45,13 @@
                                 Routes.at(b.Route).matchRatio();
                        });
   if (cause == UnmatchedRefusals.end()) {
-    return false;
+    return std::nullopt;
   }
   const auto route = std::move(cause->Route);
   UnmatchedRefusals.erase(cause);
   ++Routes.at(route).Matches;
-  return isOutboundRoute(route);
+  return isOutboundRoute(route) ? std::optional<std::string>(route)
+                                : std::nullopt;
 }
 
 } // namespace chivefold
--- a/src/mesh/slot_gate.cpp
+++ b/src/mesh/slot_gate.cpp
@@ -152,29 +152,38 @@
   if (!Open) {
     return refuse(ErrorCode::NotReady, Tuning.MaxRetryAfter);
   }
+  recordTarget(request, now);
   if (Queue.empty() && mayStart(now)) {
     markRunning(request.Id, request.Route, now);
     return {};
   }
   demoteLate(now);
-  Key key{false, request.Priority, ++NextSequence};
+  Key key{false, classOf(request), ++NextSequence};
   auto ahead = startsAheadOf(key);
   if (wouldMissTarget(request.InTimeUntil, request.Route,
-                      now + expectedWait(ahead, Overflow, now))) {
+                      now + waitOf(key, ahead, now))) {
     key.Late = true;
     ahead = startsAheadOf(key);
   }
-  const auto wait = expectedWait(ahead, Overflow, now);
+  const auto wait = waitOf(key, ahead, now);
   const bool isHeld = isHeldByLimit(ahead, now);
-  if (now + wait + expectedServiceTime(request.Route) > request.Deadline ||
-      !hasRoom(key)) {
+  SlotAdmission out{AdmissionKind::Queued, ErrorCode::Ok, {}};
+  const bool canEnd =
+      now + wait + expectedServiceTime(request.Route) <= request.Deadline;
+  if (canEnd && !hasRoom(key) && !Pacer.isLimited()) {
+    out = displaceFor(key, now);
+  }
+  if (!canEnd || (!out.Displaced && !hasRoom(key))) {
     return isHeld ? refuseByLimit(wait) : refuse(ErrorCode::Overloaded, wait);
   }
   Effects.Held += isHeld ? 1 : 0;
+  if (!key.Late) {
+    Paces.queued(key.Class, queuedOfClass(key) == 0, now);
+  }
   Queue.emplace(key, QueuedRequest{request.Id, request.Deadline,
                                    request.InTimeUntil, request.Route});
   QueuedIds.emplace(request.Id, key);
-  return {AdmissionKind::Queued, ErrorCode::Ok, {}};
+  return out;
 }
 
 void SlotGate::markRunning(GateRequestId id, const std::string &route,
@@ -191,6 +200,9 @@
   demoteLate(now);
   while (!Queue.empty() && mayStart(now)) {
     const auto next = selectNext();
+    if (!next->first.Late) {
+      Paces.started(next->first.Class, now);
+    }
     markRunning(next->second.Id, next->second.Route, now);
     removeQueued(next, ids);
   }
--- a/src/mesh/slot_gate_queue.cpp
+++ b/src/mesh/slot_gate_queue.cpp
@@ -10,7 +10,7 @@
 // head of the queue. Precondition: the queue is not empty.
 SlotGate::RequestQueue::iterator SlotGate::endOfHeadClass() {
   const auto &first = Queue.begin()->first;
-  return Queue.lower_bound(Key{first.Late, first.Priority + 1, 0});
+  return Queue.lower_bound(Key{first.Late, first.Class + 1, 0});
 }
 
 // Estimates the starts before that of a new request. A request of another class
@@ -22,7 +22,7 @@
   };
   const auto byOrder = count(Queue.begin(), Queue.lower_bound(key));
   if (Queue.empty() || (key.Late == Queue.begin()->first.Late &&
-                        key.Priority == Queue.begin()->first.Priority)) {
+                        key.Class == Queue.begin()->first.Class)) {
     return byOrder;
   }
   const auto byInterval =
@@ -30,30 +30,101 @@
   return std::min(byOrder, byInterval);
 }
 
+void SlotGate::recordTarget(const SlotRequest &request, TimePoint now) {
+  if (request.InTimeUntil == TimePoint::max() || request.InTimeUntil <= now ||
+      (RouteTargetTimes.size() >= MaxRoutes &&
+       RouteTargetTimes.count(request.Route) == 0)) {
+    return;
+  }
+  const auto us = static_cast<double>((request.InTimeUntil - now).count());
+  auto &time = RouteTargetTimes.emplace(request.Route, us).first->second;
+  time += (us > time ? 0.5 : 0.02) * (us - time);
+}
+
 bool SlotGate::wouldMissTarget(TimePoint inTimeUntil, const std::string &route,
                                TimePoint start) const {
   if (inTimeUntil == TimePoint::max()) {
     return false;
   }
-  const auto needed = Tuning.TargetMarginFactor *
-                      static_cast<double>(expectedServiceTime(route).count());
+  auto needed = Tuning.TargetMarginFactor *
+                static_cast<double>(expectedServiceTime(route).count());
+  const auto target = RouteTargetTimes.find(route);
+  if (target != RouteTargetTimes.end()) {
+    needed = std::min(needed, Tuning.TargetMarginShare * target->second);
+  }
   return start + Duration(static_cast<std::int64_t>(needed)) > inTimeUntil;
 }
 
-// Higher priorities do not use up the queue bound of lower ones, and late
-// requests do not use up that of requests in time. Under a request limit the
-// bound is short, and lower priorities must not use up that of higher ones.
+// More urgent work does not use up the queue bound of less urgent work, and
+// late requests do not use up that of requests in time. Under a request limit
+// the bound is short, and less urgent work must not use up that of more urgent
+// work.
 bool SlotGate::hasRoom(const Key &key) const {
   const auto begin = key.Late ? Queue.lower_bound(LateBegin) : Queue.begin();
   const auto end = key.Late ? Queue.end() : Queue.lower_bound(LateBegin);
   const bool isLimited = Pacer.isLimited();
   const auto first =
-      isLimited ? begin : Queue.lower_bound(Key{key.Late, key.Priority, 0});
+      isLimited ? begin : Queue.lower_bound(Key{key.Late, key.Class, 0});
   const auto last =
-      isLimited ? Queue.lower_bound(Key{key.Late, key.Priority + 1, 0}) : end;
-  const auto perSlot = key.Late ? Tuning.LateQueuePerSlot : Tuning.QueuePerSlot;
-  return static_cast<double>(std::distance(first, last)) <
-         usableSlots() * perSlot;
+      isLimited ? Queue.lower_bound(Key{key.Late, key.Class + 1, 0}) : end;
+  return static_cast<double>(std::distance(first, last)) < queueBound(key.Late);
+}
+
+std::size_t SlotGate::queuedOfClass(const Key &key) const {
+  return static_cast<std::size_t>(
+      std::distance(Queue.lower_bound(Key{key.Late, key.Class, 0}),
+                    Queue.lower_bound(Key{key.Late, key.Class + 1, 0})));
+}
+
+// Returns the expected wait of a new request: what is queued before it, or the
+// pace at which the queue of its class was seen to drain, which also has in it
+// the more urgent requests that arrive meanwhile.
+Duration SlotGate::waitOf(const Key &key, std::size_t ahead,
+                          TimePoint now) const {
+  const auto wait = expectedWait(ahead, Overflow, now);
+  return key.Late
+             ? wait
+             : std::max(wait, Paces.wait(key.Class, queuedOfClass(key), now));
+}
+
+double SlotGate::queueBound(bool late) const {
+  return usableSlots() * (late ? Tuning.LateQueuePerSlot : Tuning.QueuePerSlot);
+}
+
+// Returns the queued request whose place a new one takes that found no room:
+// the last of the least urgent kind of work that holds more than its kept part
+// of the queue, since it has waited least; end() if there is none. Lateness is
+// the same, so that a late request never takes the place of one in time.
+SlotGate::RequestQueue::iterator SlotGate::displaceableFor(const Key &key) {
+  const auto kept = std::ceil(queueBound(key.Late) * Tuning.KeptQueueShare);
+  auto end = key.Late ? Queue.end() : Queue.lower_bound(LateBegin);
+  while (end != Queue.begin()) {
+    const auto last = std::prev(end);
+    if (last->first.Late != key.Late || last->first.Class <= key.Class) {
+      break;
+    }
+    const auto begin = Queue.lower_bound(Key{key.Late, last->first.Class, 0});
+    if (static_cast<double>(std::distance(begin, end)) > kept) {
+      return last;
+    }
+    end = begin;
+  }
+  return Queue.end();
+}
+
+SlotAdmission SlotGate::displaceFor(const Key &key, TimePoint now) {
+  SlotAdmission out{AdmissionKind::Queued, ErrorCode::Ok, {}};
+  const auto victim = displaceableFor(key);
+  if (victim == Queue.end()) {
+    return out;
+  }
+  out.RetryAfter =
+      refuse(ErrorCode::Overloaded, slotWait(Queue.size(), now)).RetryAfter;
+  std::vector<GateRequestId> removed;
+  removeQueued(victim, removed);
+  out.Displaced = removed.front();
+  ++Effects.Displaced;
+  return out;
 }
 
 // Moves requests that can no longer meet their target latency behind all
@@ -82,7 +153,7 @@
     const bool goesEarlier =
         other == Queue.end() || (it->first.Late == other->first.Late &&
                                  it->first.Sequence < other->first.Sequence);
-    if (it->first.Priority != head->first.Priority && goesEarlier) {
+    if (it->first.Class != head->first.Class && goesEarlier) {
       other = it;
     }
   }
--- a/src/sidecar/backend_admission.cpp
+++ b/src/sidecar/backend_admission.cpp
@@ -53,9 +53,10 @@
     return id;
   }
   adoptLimit(call);
-  const auto offer =
-      Gate.admit({id, call.Worth, call.Deadline, call.Route, call.InTimeUntil},
-                 Loop.now());
+  CallsOfRunning += call.ForRunning ? 1 : 0;
+  const auto offer = Gate.admit({id, call.rank(), call.Deadline, call.Route,
+                                 call.InTimeUntil, call.ForRunning},
+                                Loop.now());
   if (offer.Kind == AdmissionKind::Rejected) {
     refuse(reply, offer.Code, offer.RetryAfter);
     return id;
@@ -72,18 +73,21 @@
   } else {
     armTimer();
   }
+  if (offer.Displaced) {
+    drop({*offer.Displaced}, ErrorCode::Overloaded, offer.RetryAfter);
+  }
   return id;
 }
 
 // Refuses queued calls, none of which has been sent to the server.
-void BackendService::drop(const std::vector<GateRequestId> &ids,
-                          ErrorCode code) {
+void BackendService::drop(const std::vector<GateRequestId> &ids, ErrorCode code,
+                          std::optional<Duration> retryAfter) {
   for (const auto id : ids) {
     const auto it = Calls.find(id);
     if (it != Calls.end()) {
       const auto reply = std::move(it->second.Reply);
       Calls.erase(it);
-      refuse(reply, code, gate().LimitWait);
+      refuse(reply, code, retryAfter.value_or(gate().LimitWait));
     }
   }
 }
@@ -116,6 +120,7 @@
     if (call.Http != HttpCallId::None && !Client.cancelUnsent(call.Http)) {
       return;
     }
+    Parents.ended(id);
     Gate.finished(id, std::nullopt);
   }
   ++Revoked;
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -234,6 +234,8 @@
   call.WasCold = Gate.state(now).Cold;
   call.ServerStart = Statements.limit().ServerStart;
   Sent.record(now);
+  Parents.started(id, {call.Message.Route, call.Message.rank(),
+                       call.Message.Deadline, call.Message.InTimeUntil, now});
   HttpCall http;
   http.Method = call.Message.Method;
   http.Url = "http://" + toString(Upstream) + call.Message.Target;
@@ -288,6 +290,21 @@
   return result;
 }
 
+// Whether the server answered with an error because a call of its own was
+// refused, from which the routes behind its calls are learned.
+bool BackendService::isCausedByRefusal(const std::string &route,
+                                       const CallResult &result) {
+  if (result.Result != Outcome::Answered ||
+      result.Status < MinServerErrorStatus) {
+    return false;
+  }
+  const auto refused = Refused.matchError(Loop.now());
+  if (refused) {
+    Parents.recordError(*refused, route);
+  }
+  return refused.has_value();
+}
+
 void BackendService::onOutcome(BackendCallId id, HttpOutcome outcome) {
   const auto it = Calls.find(id);
   if (it == Calls.end()) {
@@ -302,9 +319,7 @@
     applyStatement(it->second, *outcome.Response);
   }
   auto result = resultOf(it->second, outcome);
-  result.CallRefused = result.Result == Outcome::Answered &&
-                       result.Status >= MinServerErrorStatus &&
-                       Refused.matchError(Loop.now());
+  result.CallRefused = isCausedByRefusal(it->second.Message.Route, result);
   count(it->second, result, latency);
   recordInterruption(it->second, result);
   const bool answered = result.Result == Outcome::Answered;
@@ -379,6 +394,7 @@
   const auto it = Calls.find(id);
   const auto reply = std::move(it->second.Reply);
   Calls.erase(it);
+  Parents.ended(id);
   Gate.finished(id, latency);
   runWaiting();
   result.Gate = gate();
@@ -392,6 +408,7 @@
   }
   if (!Gate.cancel(id)) {
     Client.cancel(it->second.Http);
+    Parents.ended(id);
     Gate.finished(id, std::nullopt);
   }
   Calls.erase(it);
--- a/src/sidecar/backend_statements.cpp
+++ b/src/sidecar/backend_statements.cpp
@@ -19,6 +19,7 @@
   out.SentPerSecond = Sent.perSecond(Loop.now());
   out.Malformed = MalformedLimits;
   out.Effects = Gate.limitEffects();
+  out.CallsOfRunning = CallsOfRunning;
   return out;
 }
 
--- a/src/sidecar/proxy_routing.cpp
+++ b/src/sidecar/proxy_routing.cpp
@@ -79,6 +79,7 @@
   call.InTimeUntil = inTimeUntil(*route, client, now);
   call.CallerService = CallerService;
   call.RequestId = client.Id;
+  joinParent(call, *route, client, now);
   const auto quarantine = Parts.Poison.isEmpty()
                               ? std::nullopt
                               : Parts.Poison.quarantined(digestOf(call));
@@ -102,6 +103,36 @@
   attempt(request);
 }
 
+// Gives a call of the server beside this daemon the rank of the running request
+// that it belongs to, which is useless without it. The call keeps at least its
+// own target, without the time since a first attempt: the server makes no
+// other.
+void ProxyService::joinParent(CallMessage &call, const MeshRoute &route,
+                              const ClientRequest &client, TimePoint now) {
+  if (!client.TimeLeft) {
+    return;
+  }
+  const auto parent =
+      Parts.Backend.parentOf(call.Route, now + *client.TimeLeft);
+  if (!parent) {
+    return;
+  }
+  call.ForRunning = true;
+  call.RunningRank = rankOfCall(call.Worth, parent->Rank);
+  if (call.InTimeUntil != TimePoint::max()) {
+    call.InTimeUntil = now + route.TargetLatency;
+    if (parent->InTimeUntil != TimePoint::max()) {
+      call.InTimeUntil = std::max(call.InTimeUntil, parent->InTimeUntil);
+    }
+  }
+  Lines.debug("call of a running request",
+              {{"request", call.RequestId},
+               {"route", call.Route},
+               {"parent_route", parent->Route},
+               {"rank", std::uint64_t{call.RunningRank}},
+               {"parent_age_ms", toMs(now - parent->StartedAt)}});
+}
+
 TimePoint ProxyService::inTimeUntil(const MeshRoute &route,
                                     const ClientRequest &client,
                                     TimePoint now) {
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -42,7 +42,7 @@
   PlacementRequest wanted;
   wanted.Service = request->Call.Service;
   wanted.Route = request->Route->Name;
-  wanted.Priority = request->Route->Priority;
+  wanted.Priority = request->Call.rank();
   wanted.TargetLatency = request->Route->TargetLatency;
   wanted.Tried = &request->Tried;
   const auto choice = Parts.Servers.choose(wanted, now);
@@ -148,11 +148,11 @@
       servers.cancelled(request.Peer);
       break;
     }
-    servers.refused(request.Peer, result.Gate, request.Route->Priority,
+    servers.refused(request.Peer, result.Gate, request.Call.rank(),
                     result.RetryAfter, now);
     break;
   case AttemptEnd::DeclinedByServer:
-    servers.refused(request.Peer, result.Gate, request.Route->Priority,
+    servers.refused(request.Peer, result.Gate, request.Call.rank(),
                     DefaultRetryAfter, now);
     break;
   default:
@@ -326,6 +326,8 @@
                 {"route", request->Route->Name},
                 {"service", request->Call.Service},
                 {"priority", std::uint64_t{request->Route->Priority}},
+                {"rank", std::uint64_t{request->Call.rank()}},
+                {"for_running", request->Call.ForRunning ? "yes" : "no"},
                 {"outcome", outcomeName(outcome)},
                 {"status", static_cast<std::uint64_t>(response.Status)},
                 {"attempts", std::uint64_t{request->Attempts}},
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -48,7 +48,8 @@
   return out;
 }
 
-// Request limit of the backend server in the Prometheus text format.
+// Request limit of the backend server and order of its gate in the Prometheus
+// text format.
 std::string limitMetrics(const LimitFigures &figures) {
   std::string out;
   const auto add = [&out](std::string_view name, const std::string &value) {
@@ -62,6 +63,10 @@
   add("chivefold_limit_held_total", std::to_string(figures.Effects.Held));
   add("chivefold_limit_rejected_total",
       std::to_string(figures.Effects.Rejected));
+  add("chivefold_gate_displaced_total",
+      std::to_string(figures.Effects.Displaced));
+  add("chivefold_gate_calls_of_running_total",
+      std::to_string(figures.CallsOfRunning));
   add("chivefold_server_limit_malformed_total",
       std::to_string(figures.Malformed));
   return out;
