--- a/include/chivefold/mesh/slot_gate.h
+++ b/include/chivefold/mesh/slot_gate.h
@@ -82,6 +82,9 @@
    * requests of a route whose answers take over two thirds of its target would
    * count as late, and less urgent work would go before them. */
   double TargetMarginShare = 0.6;
+  /** A request with less than this part of its route's time until the target
+   * comes back after a refusal. A client that comes at once gains nothing. */
+  double ReturningShare = 0.6;
   /** Weight of the newest call in the expected service time. */
   double ServiceTimeWeight = 0.1;
   /** Expected service time before the first call ends. */
@@ -105,7 +108,8 @@
  * that it states, and that of a cold server to its stated rate. Queued requests
  * that can still meet their target latency run before those that will be late;
  * each of the two groups runs in order of priority, calls of running requests
- * before new work of their priority, then in order of arrival. If the queue is
+ * before new work of their priority, then in order of arrival. Among late ones,
+ * those that come back go before newcomers. If the queue is
  * full, a request takes the place of the last less urgent one. A request that
  * cannot end before its deadline is rejected, on arrival or as soon as that
  * becomes clear in the queue.
@@ -189,10 +193,12 @@
     bool Late;
     /** Priority, and whether the request is new work: see classOf(). */
     std::uint64_t Class;
+    /** A late request that is no retry of one that was refused before. */
+    bool LateNewcomer;
     std::uint64_t Sequence;
     bool operator<(const Key &o) const {
-      return std::tie(Late, Class, Sequence) <
-             std::tie(o.Late, o.Class, o.Sequence);
+      return std::tie(Late, Class, LateNewcomer, Sequence) <
+             std::tie(o.Late, o.Class, o.LateNewcomer, o.Sequence);
     }
   };
   struct QueuedRequest {
@@ -203,7 +209,7 @@
   };
   using RequestQueue = std::map<Key, QueuedRequest>;
   /** Lower bound of the keys of late requests. */
-  static constexpr Key LateBegin{true, 0, 0};
+  static constexpr Key LateBegin{true, 0, false, 0};
 
   static std::uint64_t classOf(const SlotRequest &request) {
     return std::uint64_t{request.Priority} * 2 + (request.ForRunning ? 0 : 1);
@@ -213,6 +219,7 @@
   bool wouldMissTarget(TimePoint inTimeUntil, const std::string &route,
                        TimePoint start) const;
   void recordTarget(const SlotRequest &request, TimePoint now);
+  bool isReturning(const SlotRequest &request, TimePoint now) const;
   void demoteLate(TimePoint now);
   RequestQueue::iterator removeQueued(RequestQueue::iterator it,
                                       std::vector<GateRequestId> &ids);
--- a/src/mesh/slot_gate.cpp
+++ b/src/mesh/slot_gate.cpp
@@ -158,11 +158,12 @@
     return {};
   }
   demoteLate(now);
-  Key key{false, classOf(request), ++NextSequence};
+  Key key{false, classOf(request), false, ++NextSequence};
   auto ahead = startsAheadOf(key);
   if (wouldMissTarget(request.InTimeUntil, request.Route,
                       now + waitOf(key, ahead, now))) {
     key.Late = true;
+    key.LateNewcomer = !isReturning(request, now);
     ahead = startsAheadOf(key);
   }
   const auto wait = waitOf(key, ahead, now);
--- a/src/mesh/slot_gate_queue.cpp
+++ b/src/mesh/slot_gate_queue.cpp
@@ -10,7 +10,7 @@
 // head of the queue. Precondition: the queue is not empty.
 SlotGate::RequestQueue::iterator SlotGate::endOfHeadClass() {
   const auto &first = Queue.begin()->first;
-  return Queue.lower_bound(Key{first.Late, first.Class + 1, 0});
+  return Queue.lower_bound(Key{first.Late, first.Class + 1, false, 0});
 }
 
 // Estimates the starts before that of a new request. A request of another class
@@ -41,6 +41,14 @@
   time += (us > time ? 0.5 : 0.02) * (us - time);
 }
 
+bool SlotGate::isReturning(const SlotRequest &request, TimePoint now) const {
+  const auto target = RouteTargetTimes.find(request.Route);
+  return !request.ForRunning && target != RouteTargetTimes.end() &&
+         request.InTimeUntil != TimePoint::max() &&
+         static_cast<double>((request.InTimeUntil - now).count()) <
+             Tuning.ReturningShare * target->second;
+}
+
 bool SlotGate::wouldMissTarget(TimePoint inTimeUntil, const std::string &route,
                                TimePoint start) const {
   if (inTimeUntil == TimePoint::max()) {
@@ -64,16 +72,17 @@
   const auto end = key.Late ? Queue.end() : Queue.lower_bound(LateBegin);
   const bool isLimited = Pacer.isLimited();
   const auto first =
-      isLimited ? begin : Queue.lower_bound(Key{key.Late, key.Class, 0});
+      isLimited ? begin : Queue.lower_bound(Key{key.Late, key.Class, false, 0});
   const auto last =
-      isLimited ? Queue.lower_bound(Key{key.Late, key.Class + 1, 0}) : end;
+      isLimited ? Queue.lower_bound(Key{key.Late, key.Class + 1, false, 0})
+                : end;
   return static_cast<double>(std::distance(first, last)) < queueBound(key.Late);
 }
 
 std::size_t SlotGate::queuedOfClass(const Key &key) const {
   return static_cast<std::size_t>(
-      std::distance(Queue.lower_bound(Key{key.Late, key.Class, 0}),
-                    Queue.lower_bound(Key{key.Late, key.Class + 1, 0})));
+      std::distance(Queue.lower_bound(Key{key.Late, key.Class, false, 0}),
+                    Queue.lower_bound(Key{key.Late, key.Class + 1, false, 0})));
 }
 
 // Returns the expected wait of a new request: what is queued before it, or the
@@ -100,11 +109,15 @@
   auto end = key.Late ? Queue.end() : Queue.lower_bound(LateBegin);
   while (end != Queue.begin()) {
     const auto last = std::prev(end);
-    if (last->first.Late != key.Late || last->first.Class <= key.Class) {
+    if (last->first.Late != key.Late ||
+        std::tie(last->first.Class, last->first.LateNewcomer) <=
+            std::tie(key.Class, key.LateNewcomer)) {
       break;
     }
-    const auto begin = Queue.lower_bound(Key{key.Late, last->first.Class, 0});
-    if (static_cast<double>(std::distance(begin, end)) > kept) {
+    const auto begin =
+        Queue.lower_bound(Key{key.Late, last->first.Class, false, 0});
+    if (last->first.Class == key.Class ||
+        static_cast<double>(std::distance(begin, end)) > kept) {
       return last;
     }
     end = begin;
@@ -135,6 +148,7 @@
     if (wouldMissTarget(it->second.InTimeUntil, it->second.Route, now)) {
       auto node = Queue.extract(it);
       node.key().Late = true;
+      node.key().LateNewcomer = true;
       QueuedIds[node.mapped().Id] = node.key();
       Queue.insert(std::move(node));
     }
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -219,6 +219,31 @@
         Duration::zero());
 }
 
+// Guards against retries that run before requests that can still be in time
+// because the timeouts of clients vary, so that no stated time is frequent.
+TEST_CASE("retries are told from first attempts where timeouts vary",
+          "[overload]") {
+  AttemptAgeEstimator estimator;
+  std::mt19937_64 random(1);
+  std::uniform_int_distribution<int> first(1275, 1500);
+  std::uniform_int_distribution<int> retry(300, 1200);
+  int falseAges = 0;
+  std::int64_t largestErrorMs = 0;
+  for (int i = 0; i < 2000; ++i) {
+    const auto firstAge =
+        estimator.recordAttempt("r", milliseconds(first(random)));
+    falseAges += i > 100 && firstAge > Duration::zero() ? 1 : 0;
+    if (i % 2 == 0) {
+      const auto left = retry(random);
+      const auto age = estimator.recordAttempt("r", milliseconds(left));
+      const auto error = age.count() / 1000 - (1387 - left);
+      largestErrorMs = std::max(largestErrorMs, i > 100 ? std::abs(error) : 0);
+    }
+  }
+  CHECK(falseAges == 0);
+  CHECK(largestErrorMs <= 25);
+}
+
 // Guards against errors that are counted against a server, version or route
 // although another service refused its calls, and against errors of the server
 // itself that are not counted.
--- a/tests/unit/slot_gate_rank_test.cpp
+++ b/tests/unit/slot_gate_rank_test.cpp
@@ -112,7 +112,8 @@
 // would count as late.
 TEST_CASE("a route with a close target is not late as a whole", "[slot_gate]") {
   SlotGate gate;
-  gate.open(1, 0);
+  constexpr std::uint64_t slots = 13;
+  gate.open(slots, 0);
   const auto view = [](std::uint64_t id, std::int64_t ms) {
     return SlotRequest{GateRequestId{id}, 0, at(ms + 1500), "view",
                        at(ms + 500)};
@@ -123,15 +124,44 @@
     gate.admit(view(++id, ms), at(ms));
     gate.finished(GateRequestId{id}, milliseconds(400));
   }
-  gate.admit(view(++id, ms), at(ms));
+  const auto first = id + 1;
+  for (std::uint64_t n = 0; n < slots; ++n) {
+    CHECK(gate.admit(view(++id, ms), at(ms)).Kind == AdmissionKind::Run);
+  }
   const SlotRequest lessUrgent{GateRequestId{++id}, 2, at(ms + 9000), "r"};
   CHECK(gate.admit(lessUrgent, at(ms)).Kind == AdmissionKind::Queued);
   CHECK(gate.admit(view(++id, ms), at(ms)).Kind == AdmissionKind::Queued);
-  gate.finished(GateRequestId{id - 2}, milliseconds(10));
+  gate.finished(GateRequestId{first}, milliseconds(400));
   CHECK(gate.start(at(ms + 10)) ==
         std::vector<GateRequestId>{GateRequestId{id}});
 }
 
+// Guards against a client that was refused, waited as it was told, and is put
+// behind newcomers that are late as well. One that comes again at once is a
+// newcomer.
+TEST_CASE("a late request that comes back goes before late newcomers",
+          "[slot_gate]") {
+  SlotGate gate;
+  gate.open(2, 0);
+  const auto request = [](std::uint64_t id, std::int64_t targetMs) {
+    return SlotRequest{GateRequestId{id}, 1, at(5000), "r", at(targetMs)};
+  };
+  for (std::uint64_t id = 1; id <= 2; ++id) {
+    gate.admit(request(id, 400), at(0));
+  }
+  // The route now takes as long as its target.
+  for (std::uint64_t id = 1; id <= 2; ++id) {
+    gate.finished(GateRequestId{id}, milliseconds(2000));
+    gate.admit(request(id + 2, 400), at(0));
+  }
+  CHECK(gate.admit(request(5, 500), at(190)).Kind == AdmissionKind::Queued);
+  CHECK(gate.admit(request(6, 500), at(190)).Kind == AdmissionKind::Rejected);
+  const auto back = gate.admit(request(7, 300), at(190));
+  CHECK(back.Kind == AdmissionKind::Queued);
+  CHECK(back.Displaced == GateRequestId{5});
+  CHECK(gate.admit(request(8, 300), at(190)).Kind == AdmissionKind::Rejected);
+}
+
 // Guards against more requests at a server than its slots, a queue beyond its
 // bound, and a request that is displaced and still runs.
 TEST_CASE("ranks and displacement keep the gate's limits for any sequence",
