--- a/tests/unit/call_parents_test.cpp
+++ b/tests/unit/call_parents_test.cpp
@@ -1,5 +1,7 @@
 #include "chivefold/mesh/call_parents.h"
 
+#include "chivefold/daemon/call_message.h"
+
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
@@ -100,3 +102,19 @@
     RC_ASSERT(rank == parent || rank + 1 == own);
   }));
 }
+
+// Guards against a rank that is lost on the way to the called server, and
+// against a request of a daemon that does not know of ranks.
+TEST_CASE("a call carries its rank to the called server", "[call_parents]") {
+  CallMessage call;
+  call.Worth = 2;
+  call.Deadline = at(1000);
+  auto plain = toWire(call, at(0));
+  CHECK(fromWire(plain, at(0)).rank() == 2);
+  call.ForRunning = true;
+  call.RunningRank = 1;
+  auto ranked = toWire(call, at(0));
+  const auto received = fromWire(ranked, at(0));
+  CHECK(received.ForRunning);
+  CHECK(received.rank() == 1);
+}
