--- a/include/chivefold/daemon/call_message.h
+++ b/include/chivefold/daemon/call_message.h
@@ -68,7 +68,14 @@
   std::string Customer;
   /** Digest of that key; 0 if there is none. */
   std::uint64_t KeyDigest = 0;
-
+  /** The request is a call of one that runs at the server beside the caller's
+   * daemon. */
+  bool ForRunning = false;
+  /** Rank of that request; used if ForRunning. 0 is the most urgent. */
+  std::uint32_t RunningRank = 0;
+
+  /** @return the rank by which the request is queued and placed. */
+  std::uint32_t rank() const { return ForRunning ? RunningRank : Worth; }
   /** @return Target without the query. */
   std::string_view path() const;
 };
--- a/include/chivefold/sidecar/proxy_service.h
+++ b/include/chivefold/sidecar/proxy_service.h
@@ -84,6 +84,8 @@
                       const ClientRequest &client);
   TimePoint inTimeUntil(const MeshRoute &route, const ClientRequest &client,
                         TimePoint now);
+  void joinParent(CallMessage &call, const MeshRoute &route,
+                  const ClientRequest &client, TimePoint now);
   int unroutedStatus(const std::string &hostname) const;
   int updateRoute(Request &request);
   void setRoute(Request &request, const MeshRoute &route,
--- a/src/daemon/call_message.cpp
+++ b/src/daemon/call_message.cpp
@@ -159,6 +159,8 @@
   to.request_limit = limitToWire(call.KnownLimit, now);
   to.customer = call.Customer;
   to.key_digest = call.KeyDigest;
+  to.for_running = call.ForRunning;
+  to.rank = call.RunningRank;
   return to;
 }
 
@@ -188,6 +190,8 @@
   call.KnownLimit = limitFromWire(request.request_limit.get(), now);
   call.Customer = std::move(request.customer);
   call.KeyDigest = request.key_digest;
+  call.ForRunning = request.for_running;
+  call.RunningRank = request.rank;
   return call;
 }
 
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -43,7 +43,7 @@
   PlacementRequest wanted;
   wanted.Service = request->Call.Service;
   wanted.Route = request->Route->Name;
-  wanted.Priority = request->Call.Worth;
+  wanted.Priority = request->Call.rank();
   wanted.TargetLatency = request->Route->TargetLatency;
   wanted.Tried = &request->Tried;
   wanted.InTimeUntil = request->Call.InTimeUntil;
@@ -152,11 +152,11 @@
       servers.cancelled(request.Peer);
       break;
     }
-    servers.refused(request.Peer, result.Gate, request.Call.Worth,
+    servers.refused(request.Peer, result.Gate, request.Call.rank(),
                     result.RetryAfter, now);
     break;
   case AttemptEnd::DeclinedByServer:
-    servers.refused(request.Peer, result.Gate, request.Call.Worth,
+    servers.refused(request.Peer, result.Gate, request.Call.rank(),
                     DefaultRetryAfter, now);
     break;
   default:
@@ -175,7 +175,7 @@
   facts.Status = result.Status;
   facts.CallRefused = result.CallRefused;
   facts.Kind = request->Route->Kind;
-  facts.Priority = request->Call.Worth;
+  facts.Priority = request->Call.rank();
   facts.Hosts = Parts.Servers.fleetSize();
   facts.PossibleRuns = request->Runs;
   facts.MaxPossibleRuns = request->Route->MaxAttempts;
@@ -332,6 +332,8 @@
                 {"route", request->Route->Name},
                 {"service", request->Call.Service},
                 {"priority", std::uint64_t{request->Call.Worth}},
+                {"rank", std::uint64_t{request->Call.rank()}},
+                {"for_running", request->Call.ForRunning ? "yes" : "no"},
                 {"outcome", outcomeName(outcome)},
                 {"status", static_cast<std::uint64_t>(response.Status)},
                 {"attempts", std::uint64_t{request->Attempts}},
