State and use the speeds of servers earlier

A gate now states its typical time after 64 calls, and one answer is enough. Servers count as far from the median by a factor of 1.57, so that alike servers under disturbances still do not count as unlike. Lookups by route are made once a choice.

--- a/include/chivefold/mesh/fleet_pace.h
+++ b/include/chivefold/mesh/fleet_pace.h
@@ -30,8 +30,9 @@
   static constexpr double MaxSlowness = 10;
   /** Half-life of a slowness without answers. */
   static constexpr Duration HalfLife = std::chrono::seconds(20);
-  /** Answers from which a slowness counts as known. */
-  static constexpr unsigned MinAnswers = 3;
+  /** Answers from which a slowness counts as known. Each states an average over
+   * many calls. */
+  static constexpr unsigned MinAnswers = 1;
 
   FleetPace();
 
--- a/include/chivefold/mesh/placement.h
+++ b/include/chivefold/mesh/placement.h
@@ -238,6 +238,15 @@
     double ExpectedUs = 0;
   };
 
+  /** What a request is expected to cost on an average server. */
+  struct RequestCost {
+    /** Distribution of its service time; null if not known. */
+    const DurationDistribution *Times = nullptr;
+    Duration Expected{};
+    /** Time until an answer is late. */
+    Duration Left{};
+  };
+
   /** Whether servers of a service differ in speed. */
   struct SpeedEvidence {
     bool IsUneven = false;
@@ -287,12 +296,13 @@
   double valueOf(const HostState &host, const PlacementRequest &request,
                  double inTimeProbability, double latencyPenalty,
                  double errorRate) const;
-  double errorRate(const Address &peer, TimePoint now) const;
   bool choosesByWork(const std::string &service,
                      const std::vector<Address> &hosts, TimePoint now);
-  Duration workWait(const HostState &host, Duration cost, TimePoint now) const;
+  Duration workWait(const HostState &host, const ServerLoad &load,
+                    Duration cost, TimePoint now) const;
+  RequestCost costOf(const PlacementRequest &request, TimePoint now) const;
   Candidate rateByWork(const HostState &host, const PlacementRequest &request,
-                       TimePoint now) const;
+                       const RequestCost &costs, TimePoint now) const;
   const Candidate &selectBest(std::vector<Candidate> &candidates);
   double outstandingRequests(const ServerLoad &load, TimePoint now) const;
   ServerLoad &endRequest(const Address &peer);
--- a/include/chivefold/mesh/service_pace.h
+++ b/include/chivefold/mesh/service_pace.h
@@ -25,7 +25,7 @@
   static constexpr std::size_t MaxRoutes = 1024;
   /** Calls from which a typical service time is stated, so that a disturbance
    * at the start is not taken for the speed of the server. */
-  static constexpr unsigned MinCalls = 96;
+  static constexpr unsigned MinCalls = 64;
   /** Calls from which a disturbance is told. */
   static constexpr unsigned MinCallsBefore = 8;
   /** Bounds of the disturbance factor. */
--- a/src/mesh/fleet_pace.cpp
+++ b/src/mesh/fleet_pace.cpp
@@ -15,7 +15,7 @@
 constexpr double SlownessWeight = 0.1;
 /** Natural logarithm of the factor from which a server is far from the median.
  */
-constexpr double FarFromMedian = 0.35;
+constexpr double FarFromMedian = 0.45;
 constexpr std::size_t MinServers = 4;
 
 double logOf(Duration d) { return std::log(static_cast<double>(d.count())); }
--- a/src/mesh/placement.cpp
+++ b/src/mesh/placement.cpp
@@ -83,7 +83,9 @@
       wantsTarget ? targetServers(candidates, *split) : std::vector<Address>{};
   const auto local = localServers(candidates, now);
   const bool byWork = choosesByWork(request.Service, hosts->second, now);
+  const auto costs = byWork ? costOf(request, now) : RequestCost();
   std::vector<Candidate> rated;
+  rated.reserve(candidates.size());
   bool haveWantedVersion = false;
   std::optional<Duration> soonest;
   for (const auto *host : candidates) {
@@ -109,7 +111,7 @@
       haveWantedVersion = true;
       rated.clear();
     }
-    rated.push_back(byWork ? rateByWork(*host, request, now)
+    rated.push_back(byWork ? rateByWork(*host, request, costs, now)
                            : rateByLatency(*host, request, now));
   }
   if (!rated.empty()) {
--- a/src/mesh/placement_value.cpp
+++ b/src/mesh/placement_value.cpp
@@ -60,13 +60,6 @@
               occupancyWeight * std::min(1.0, outstanding / slots));
 }
 
-double Placement::errorRate(const Address &peer, TimePoint now) const {
-  const auto it = Loads.find(peer);
-  return it == Loads.end()
-             ? 0
-             : it->second.ErrorRate * decay(it->second.ErrorRateAt, now);
-}
-
 Duration Placement::targetLatency(const PlacementRequest &request) {
   return request.TargetLatency > Duration::zero() ? request.TargetLatency
                                                   : DefaultTarget;
--- a/src/mesh/placement_work.cpp
+++ b/src/mesh/placement_work.cpp
@@ -45,13 +45,8 @@
 // its meaning within the time in which a server renews its work; then the mean
 // of the reports counts, and what the server has to do is uncertain. Requests
 // that this daemon has sent since add to it.
-Duration Placement::workWait(const HostState &host, Duration cost,
-                             TimePoint now) const {
-  const auto it = Loads.find(host.Peer);
-  if (it == Loads.end()) {
-    return Duration::zero();
-  }
-  const auto &load = it->second;
+Duration Placement::workWait(const HostState &host, const ServerLoad &load,
+                             Duration cost, TimePoint now) const {
   const double slots =
       load.Limit > 0 ? load.Limit : std::max(host.Server.Slots, 1U);
   const auto costUs = std::max(1.0, static_cast<double>(cost.count()));
@@ -76,28 +71,36 @@
   return Duration(static_cast<Duration::rep>(wait)) + limitWait(host, now);
 }
 
+Placement::RequestCost Placement::costOf(const PlacementRequest &request,
+                                         TimePoint now) const {
+  const auto &costs = Pace.costs();
+  const auto left = request.InTimeUntil == TimePoint::max()
+                        ? targetLatency(request)
+                        : request.InTimeUntil - now;
+  return {costs.find(request.Route), costs.expected(request.Route), left};
+}
+
 Placement::Candidate Placement::rateByWork(const HostState &host,
                                            const PlacementRequest &request,
+                                           const RequestCost &costs,
                                            TimePoint now) const {
-  const auto &costs = Pace.costs();
   const double slowness = Pace.slowness(host.Peer, now);
-  const auto onServer = [slowness](Duration d) {
-    return Duration(
-        static_cast<Duration::rep>(static_cast<double>(d.count()) * slowness));
-  };
-  const auto cost = onServer(costs.expected(request.Route));
-  const auto wait = workWait(host, cost, now);
+  const auto cost = Duration(static_cast<Duration::rep>(
+      static_cast<double>(costs.Expected.count()) * slowness));
+  const auto load = Loads.find(host.Peer);
+  const bool isKnown = load != Loads.end();
+  const auto wait =
+      isKnown ? workWait(host, load->second, cost, now) : Duration::zero();
+  const double errorRate =
+      isKnown ? load->second.ErrorRate * decay(load->second.ErrorRateAt, now)
+              : 0;
   const auto finish = wait + cost;
-  const auto left = request.InTimeUntil == TimePoint::max()
-                        ? targetLatency(request)
-                        : request.InTimeUntil - now;
-  const auto *times = costs.find(request.Route);
-  const auto forService =
-      static_cast<double>(std::max(left - wait, Duration::zero()).count());
+  const auto forService = static_cast<double>(
+      std::max(costs.Left - wait, Duration::zero()).count());
   const double inTimeProbability =
-      times == nullptr
-          ? inTimeProbabilityByMean(finish, left)
-          : times->probabilityWithin(
+      costs.Times == nullptr
+          ? inTimeProbabilityByMean(finish, costs.Left)
+          : costs.Times->probabilityWithin(
                 Duration(static_cast<Duration::rep>(forService / slowness)));
   Candidate out;
   out.Host = &host;
@@ -106,8 +109,7 @@
       (Settings.WaitPenalty * static_cast<double>(wait.count()) +
        Settings.ServicePenalty * static_cast<double>(cost.count())) /
       static_cast<double>(targetLatency(request).count());
-  out.Value = valueOf(host, request, inTimeProbability, penalty,
-                      errorRate(host.Peer, now));
+  out.Value = valueOf(host, request, inTimeProbability, penalty, errorRate);
   return out;
 }
 
