--- /dev/null
+++ b/tests/edge/loopback.cpp
@@ -0,0 +1,182 @@
+#include "loopback.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <netinet/in.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace edge {
+
+namespace {
+
+sockaddr_in socketAddress(const std::string &address) {
+  const auto colon = address.rfind(':');
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  out.sin_port = htons(static_cast<std::uint16_t>(
+      std::strtoul(address.c_str() + colon + 1, nullptr, 10)));
+  inet_pton(AF_INET, address.substr(0, colon).c_str(), &out.sin_addr);
+  return out;
+}
+
+int listenOn(const std::string &address) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  const auto a = socketAddress(address);
+  if (bind(fd, reinterpret_cast<const sockaddr *>(&a), sizeof(a)) != 0 ||
+      listen(fd, 512) != 0) {
+    std::perror("listen");
+    std::exit(2);
+  }
+  return fd;
+}
+
+} // namespace
+
+std::string HttpMessage::header(const std::string &name) const {
+  std::size_t at = 0;
+  while (at < Headers.size()) {
+    const auto end = Headers.find("\r\n", at);
+    const auto line = Headers.substr(at, end - at);
+    const auto colon = line.find(':');
+    if (colon == name.size() &&
+        strncasecmp(line.c_str(), name.c_str(), colon) == 0) {
+      const auto value = line.find_first_not_of(" \t", colon + 1);
+      return value == std::string::npos ? "" : line.substr(value);
+    }
+    at = end + 2;
+  }
+  return {};
+}
+
+std::string HttpMessage::target() const {
+  const auto first = Start.find(' ');
+  return Start.substr(first + 1, Start.find(' ', first + 1) - first - 1);
+}
+
+int HttpMessage::status() const {
+  return Start.size() > 12 ? std::atoi(Start.c_str() + 9) : 0;
+}
+
+int connectTo(const std::string &address) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const auto a = socketAddress(address);
+  if (connect(fd, reinterpret_cast<const sockaddr *>(&a), sizeof(a)) != 0) {
+    close(fd);
+    return -1;
+  }
+  return fd;
+}
+
+std::string freeAddress() {
+  const int fd = listenOn("127.0.0.1:0");
+  sockaddr_in a{};
+  socklen_t n = sizeof(a);
+  getsockname(fd, reinterpret_cast<sockaddr *>(&a), &n);
+  close(fd);
+  return "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
+}
+
+bool sendAll(int fd, const std::string &bytes) {
+  std::size_t at = 0;
+  while (at < bytes.size()) {
+    const auto n = send(fd, bytes.data() + at, bytes.size() - at, MSG_NOSIGNAL);
+    if (n <= 0) {
+      return false;
+    }
+    at += static_cast<std::size_t>(n);
+  }
+  return true;
+}
+
+bool HttpReader::fill() {
+  std::array<char, 65536> buf{};
+  const auto n = recv(Fd, buf.data(), buf.size(), 0);
+  if (n <= 0) {
+    return false;
+  }
+  Buffer.append(buf.data(), static_cast<std::size_t>(n));
+  return true;
+}
+
+bool HttpReader::read(HttpMessage &message, bool keepBody) {
+  std::size_t end = 0;
+  while ((end = Buffer.find("\r\n\r\n")) == std::string::npos) {
+    if (!fill()) {
+      return false;
+    }
+  }
+  const auto line = Buffer.find("\r\n");
+  message = {Buffer.substr(0, line), Buffer.substr(line + 2, end - line), ""};
+  Buffer.erase(0, end + 4);
+  auto left =
+      std::strtoull(message.header("Content-Length").c_str(), nullptr, 10);
+  while (left > 0) {
+    if (Buffer.empty() && !fill()) {
+      return false;
+    }
+    const auto n = std::min<std::size_t>(left, Buffer.size());
+    if (keepBody) {
+      message.Body.append(Buffer, 0, n);
+    }
+    Buffer.erase(0, n);
+    left -= n;
+  }
+  return true;
+}
+
+int exchange(const std::string &address, const std::string &request,
+             HttpMessage &answer) {
+  const int fd = connectTo(address);
+  if (fd < 0) {
+    return 0;
+  }
+  // A refusal may come before the end of the request.
+  sendAll(fd, request);
+  const bool isWhole = HttpReader(fd).read(answer);
+  close(fd);
+  return isWhole ? answer.status() : 0;
+}
+
+void serve(const std::string &address, bool keepBodies,
+           std::function<HttpMessage(const HttpMessage &)> handler) {
+  const int listener = listenOn(address);
+  std::thread([=, handler = std::move(handler)] {
+    for (int fd = 0;
+         (fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC)) >= 0;) {
+      std::thread([=] {
+        HttpReader in(fd);
+        HttpMessage request;
+        while (in.read(request, keepBodies)) {
+          const auto answer = handler(request);
+          if (!sendAll(fd, answer.Start + "\r\n" + answer.Headers +
+                               "Content-Length: " +
+                               std::to_string(answer.Body.size()) + "\r\n\r\n" +
+                               answer.Body)) {
+            break;
+          }
+        }
+        close(fd);
+      }).detach();
+    }
+  }).detach();
+}
+
+std::string queryValue(const std::string &target, const std::string &name) {
+  const auto at = target.find(name + "=");
+  if (at == std::string::npos) {
+    return {};
+  }
+  const auto from = at + name.size() + 1;
+  return target.substr(from, target.find('&', from) - from);
+}
+
+} // namespace edge
--- /dev/null
+++ b/tests/edge/loopback.h
@@ -0,0 +1,63 @@
+/**
+ * @file
+ * Blocking TCP and HTTP on loopback addresses for stand-ins.
+ */
+#ifndef CHIVEFOLD_TESTS_EDGE_LOOPBACK_H
+#define CHIVEFOLD_TESTS_EDGE_LOOPBACK_H
+
+#include <cstddef>
+#include <functional>
+#include <string>
+
+namespace edge {
+
+/** One HTTP message; Start is its first line. */
+struct HttpMessage {
+  std::string Start;
+  /** Header lines, each ended by CRLF. */
+  std::string Headers;
+  std::string Body;
+
+  std::string header(const std::string &name) const;
+  std::string target() const;
+  int status() const;
+};
+
+/** @return a connected socket, or -1. @param address "ip:port". */
+int connectTo(const std::string &address);
+
+/** @return a loopback address whose port was free a moment ago. */
+std::string freeAddress();
+
+bool sendAll(int fd, const std::string &bytes);
+
+/** Reads HTTP messages whose bodies have a length. */
+class HttpReader {
+public:
+  explicit HttpReader(int fd) : Fd(fd) {}
+  /** @param keepBody whether the body is stored; its length is checked in any
+   * case. @return false if the connection ended before the message did. */
+  bool read(HttpMessage &message, bool keepBody = true);
+
+private:
+  bool fill();
+
+  int Fd;
+  std::string Buffer;
+};
+
+/** Sends one request on a connection of its own. @return the status of a whole
+ * answer, or 0. */
+int exchange(const std::string &address, const std::string &request,
+             HttpMessage &answer);
+
+/** Serves each connection on a thread until the process ends. */
+void serve(const std::string &address, bool keepBodies,
+           std::function<HttpMessage(const HttpMessage &)> handler);
+
+/** @return the decoded value of a query parameter, or "". */
+std::string queryValue(const std::string &target, const std::string &name);
+
+} // namespace edge
+
+#endif
