Share a request's body between its copies

A body of 64 MiB took the sidecar to 270,948 kB: the request, the call, the attempt and the text sent to the server each held one. Body of HttpRequest, HttpCall and CallMessage is now a SharedBody, whose copies hold the same bytes; only HttpClient makes a second one when it writes head and body as one text.

--- a/include/chivefold/daemon/call_message.h
+++ b/include/chivefold/daemon/call_message.h
@@ -37,7 +37,7 @@
   /** Path below the service, with the query. */
   std::string Target;
   HttpHeaders Headers;
-  std::string Body;
+  SharedBody Body;
   /** Idempotency key, or "". */
   std::string Key;
   TimePoint Deadline{};
--- a/include/chivefold/io/http.h
+++ b/include/chivefold/io/http.h
@@ -6,8 +6,10 @@
 #define CHIVEFOLD_IO_HTTP_H
 
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace chivefold {
@@ -40,6 +42,46 @@
 /** @return whether a status is 2xx. Thread-safe. */
 constexpr bool isSuccess(int status) { return status >= 200 && status < 300; }
 
+/** Bytes of a body that its copies share, so that a large one is held once.
+ * Copies may be used on several threads; one object on one thread at a time. */
+class SharedBody {
+public:
+  SharedBody() = default;
+  // A body is assigned from text wherever one is made.
+  SharedBody(std::string text) // NOLINT(google-explicit-constructor)
+      : Text(text.empty()
+                 ? nullptr
+                 : std::make_shared<const std::string>(std::move(text))) {}
+  SharedBody(const char *text) // NOLINT(google-explicit-constructor)
+      : SharedBody(std::string(text)) {}
+
+  std::string_view view() const {
+    return Text ? std::string_view(*Text) : std::string_view();
+  }
+  operator std::string_view() const { // NOLINT(google-explicit-constructor)
+    return view();
+  }
+  std::size_t size() const { return view().size(); }
+  bool empty() const { return view().empty(); }
+  void clear() { Text.reset(); }
+  const char *begin() const { return view().data(); }
+  const char *end() const { return view().data() + size(); }
+
+  friend bool operator==(const SharedBody &a, std::string_view b) {
+    return a.view() == b;
+  }
+  friend bool operator!=(const SharedBody &a, std::string_view b) {
+    return a.view() != b;
+  }
+  friend std::string operator+(std::string text, const SharedBody &body) {
+    text.append(body.view());
+    return text;
+  }
+
+private:
+  std::shared_ptr<const std::string> Text;
+};
+
 struct HttpRequest {
   std::string Method;
   /** Path without the query, beginning with '/'. */
@@ -47,7 +89,7 @@
   /** Text after '?', or "". */
   std::string Query;
   HttpHeaders Headers;
-  std::string Body;
+  SharedBody Body;
 };
 
 /** @return the decoded value of @p name in a query, or "". Thread-safe. */
--- a/include/chivefold/io/http_client.h
+++ b/include/chivefold/io/http_client.h
@@ -21,7 +21,7 @@
   /** "http://ip:port/path?query". */
   std::string Url;
   HttpHeaders Headers;
-  std::string Body;
+  SharedBody Body;
   /** The call fails with DeadlineExceeded at this time. */
   TimePoint Deadline;
   /** Uses a new connection in place of an idle one. */
--- a/src/daemon/call_message.cpp
+++ b/src/daemon/call_message.cpp
@@ -141,7 +141,7 @@
   call.Method = std::move(request.method);
   call.Target = std::move(request.path);
   call.Headers = fromWire(request.headers);
-  call.Body.assign(request.body.begin(), request.body.end());
+  call.Body = std::string(request.body.begin(), request.body.end());
   call.Key = std::move(request.key);
   call.Deadline = now + std::chrono::milliseconds(request.time_left_ms);
   if (request.in_time_left_ms != NoTarget) {
