Bound the bytes and the connections of all clients together

ByteBudget counts what connections hold at the three HTTP addresses and on the links between daemons, by the host's memory (memory-limit-mb). Above it the connection that holds most for its recent progress gives up: a request that was not passed on gets 503 with Retry-After and lingers, at most 10 s. Requests of up to 64 KiB have a reserve. RequestReader, split from HttpConnection, counts headers, extensions and trailers against maxHeaderBytes. A body has 300 s. Connections are bounded by descriptor-limit; the one silent longest makes room. Calls of other daemons hold a lease for their bodies. Counters and one bounded log line for each reason.

--- a/include/chivefold/io/http_server.h
+++ b/include/chivefold/io/http_server.h
@@ -7,6 +7,8 @@
 
 #include "chivefold/core/error.h"
 #include "chivefold/core/types.h"
+#include "chivefold/io/byte_budget.h"
+#include "chivefold/io/edge_limits.h"
 #include "chivefold/io/http.h"
 #include "chivefold/io/reactor.h"
 
@@ -40,14 +42,19 @@
   /** Without a byte between two requests, or within a body, or while answers
    * wait for the client to read them. */
   Duration IdleTimeout = std::chrono::seconds(60);
+  /** From the first byte of a request to the end of its body. */
+  Duration BodyTimeout = EdgeLimits().BodyTimeout;
+  /** Beyond it, the connection that was silent longest makes room. */
+  std::size_t MaxConnections = HttpLimits::MaxConnections;
 };
 
 /**
  * Accepts requests without a thread per call. Requests that are sent behind
  * another on one connection are handled concurrently and answered in order. A
- * body over the limit is answered with 413, headers over the limit with 431,
- * ambiguous framing with 400, without the handler being called. Used on the
- * reactor's thread only.
+ * body over the limit is answered with 413, headers, trailers and chunk
+ * extensions over the limit with 431, ambiguous framing with 400, and a request
+ * that held too much of the byte budget with 503, without the handler being
+ * called. Used on the reactor's thread only.
  */
 class HttpServer {
 public:
@@ -65,8 +72,11 @@
    * the most waiting bytes is closed. */
   static constexpr std::size_t MaxHeldBytes = 24U << 20U;
 
-  /** @param listen address to bind; port 0 picks a free one. */
-  HttpServer(Reactor &reactor, Address listen, HttpHandler handler);
+  /** @param listen address to bind; port 0 picks a free one.
+   * @param budget what its connections share with others; without one, that of
+   * EdgeLimits by default for this server alone. */
+  HttpServer(Reactor &reactor, Address listen, HttpHandler handler,
+             std::shared_ptr<ByteBudget> budget = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
@@ -93,6 +103,9 @@
    * answers are not written in full. */
   std::size_t openRequests() const;
 
+  /** @return what was refused without the handler being called. */
+  const EdgeCounts &refusals() const;
+
 private:
   struct Impl;
   std::unique_ptr<Impl> State;
--- a/include/chivefold/io/peer_network.h
+++ b/include/chivefold/io/peer_network.h
@@ -7,6 +7,8 @@
 
 #include "chivefold/core/error.h"
 #include "chivefold/core/types.h"
+#include "chivefold/io/byte_budget.h"
+#include "chivefold/io/edge_limits.h"
 #include "chivefold/io/reactor.h"
 
 #include <cstddef>
@@ -24,7 +26,8 @@
 
 struct PeerLimits {
   static constexpr std::size_t MaxFrameBytes = 4U << 20U;
-  /** Open links of a daemon; the least recently used idle one is closed. */
+  /** Open links of a daemon; beyond it an idle one is closed: first those that
+   * others opened and never used, then the least recently used. */
   static constexpr std::size_t MaxLinks = 1024;
   /** Bytes waiting on one link; beyond it requests fail as not sent. */
   static constexpr std::size_t MaxQueuedBytes = 8U << 20U;
@@ -43,6 +46,14 @@
   std::uint64_t Bytes = 0;
 };
 
+/** What the links of a daemon may take of its host. */
+struct PeerAllowance {
+  /** Shared with other connections; without one, that of EdgeLimits by default
+   * for the links alone. */
+  std::shared_ptr<ByteBudget> Budget;
+  std::size_t MaxLinks = PeerLimits::MaxLinks;
+};
+
 enum class PeerRequestId : std::uint64_t { None = 0 };
 
 /** How a request to a peer ended. */
@@ -76,7 +87,8 @@
 public:
   using Callback = std::function<void(PeerOutcome)>;
 
-  PeerNetwork(Reactor &reactor, Address listen, PeerHandler handler);
+  PeerNetwork(Reactor &reactor, Address listen, PeerHandler handler,
+              PeerAllowance allowance = {});
   ~PeerNetwork();
   PeerNetwork(const PeerNetwork &) = delete;
   PeerNetwork &operator=(const PeerNetwork &) = delete;
--- a/include/chivefold/sidecar/sidecar_settings.h
+++ b/include/chivefold/sidecar/sidecar_settings.h
@@ -6,6 +6,7 @@
 #define CHIVEFOLD_SIDECAR_SIDECAR_SETTINGS_H
 
 #include "chivefold/core/types.h"
+#include "chivefold/io/edge_limits.h"
 #include "chivefold/mesh/exposure_budget.h"
 
 #include <optional>
@@ -31,6 +32,8 @@
   std::string LogLevel = "info";
   /** Limits the requests sent to a new version before its rollout completes. */
   ExposureLimit Exposure;
+  /** What connections from outside may take of this host. */
+  EdgeLimits Edge;
   /** Maximum duration of a planned stop. */
   Duration GracePeriod = std::chrono::seconds(6);
   /** Path of the settings file; "" if there is none. */
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -3,7 +3,6 @@
 #include "http_io.h"
 
 #include <array>
-#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 #include <cerrno>
 #include <netinet/in.h>
@@ -33,6 +32,13 @@
 /** Time in which a caller may read the last answer before its connection is
  * closed. */
 constexpr Duration LingerTimeout = std::chrono::seconds(2);
+/** Longest time of that, also for a caller that goes on sending. */
+constexpr Duration MaxLinger = std::chrono::seconds(10);
+/** What a connection needs beside the bytes that it holds. */
+constexpr std::size_t ConnectionBytes = 2U << 10U;
+/** Time after which a client may return that was turned away for the memory of
+ * the process, in seconds as Retry-After states it. */
+constexpr const char *MemoryRetryAfter = "1";
 /** Bytes of a refused request that are read and dropped so that the caller
  * gets the refusal in place of a reset. */
 constexpr std::size_t MaxDiscardedBytes = 8 * HttpLimits::MaxBodyBytes;
@@ -43,9 +49,9 @@
 class Exchange : public HttpExchange {
 public:
   Exchange(std::weak_ptr<HttpConnection> connection,
-           std::shared_ptr<HttpSlot> slot, HttpRequest request)
+           std::shared_ptr<HttpSlot> slot, HttpRequest request, ByteLease lease)
       : Connection(std::move(connection)), Slot(std::move(slot)),
-        Received(std::move(request)) {}
+        Received(std::move(request)), Lease(std::move(lease)) {}
   ~Exchange() override {
     if (!Slot->Response) {
       answer({503, {}, ""});
@@ -74,6 +80,8 @@
   std::weak_ptr<HttpConnection> Connection;
   std::shared_ptr<HttpSlot> Slot;
   HttpRequest Received;
+  /** Bytes of the body while the request is handled. */
+  ByteLease Lease;
 };
 
 bool setByServer(const std::string &name) {
@@ -86,31 +94,16 @@
   return false;
 }
 
-int refusalOf(const boost::system::error_code &ec) {
-  if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
-    return 431;
-  }
-  return ec == http::error::body_limit ? 413 : 400;
-}
-
-HttpRequest requestOf(http::request<http::string_body> &&message) {
-  HttpRequest out;
-  out.Method = std::string(message.method_string());
-  const std::string target(message.target());
-  const auto n = target.find('?');
-  out.Path = target.substr(0, n);
-  out.Query = n == std::string::npos ? "" : target.substr(n + 1);
-  out.Headers = headersOf(message);
-  out.Body = std::move(message.body());
-  return out;
-}
-
 } // namespace
 
 HttpConnection::HttpConnection(Reactor &reactor, HttpConnectionOwner &owner,
                                int fd)
-    : Loop(reactor), Owner(owner), Fd(fd), TakenAt(Loop.now()),
-      HeardAt(TakenAt), RequestBegan(TakenAt) {}
+    : Loop(reactor), Owner(owner), Fd(fd),
+      Reader(owner.Limits, owner.Budget->largeLimit() / EdgeLimits::BodyCopies),
+      Share(owner.Budget, [this] { giveUp(); }), TakenAt(Loop.now()),
+      HeardAt(TakenAt), RequestBegan(TakenAt) {
+  updateShare();
+}
 
 HttpConnection::~HttpConnection() {
   if (Fd >= 0) {
@@ -139,10 +132,12 @@
   Loop.cancel(Timer);
   Timer = TimerId::None;
   Owner.OpenRequests -= std::exchange(Unwritten, 0);
-  Output.clear();
+  std::string().swap(Output);
   Written = 0;
   SlotBytes = 0;
+  Reader.clear();
   updateHeld();
+  Share.set(0);
   const auto slots = std::move(Slots);
   Slots.clear();
   for (const auto &it : slots) {
@@ -191,18 +186,24 @@
     Discarded += static_cast<std::size_t>(n);
     return Discarded > MaxDiscardedBytes ? shut() : void();
   }
-  if (Input.empty() && !Current) {
+  if (!Reader.isReading()) {
     RequestBegan = HeardAt;
   }
-  Input.append(buf.data(), static_cast<std::size_t>(n));
+  Reader.append(buf.data(), static_cast<std::size_t>(n));
+  Share.received(static_cast<std::size_t>(n), HeardAt);
+  const auto kept = shared_from_this();
   parse();
+  // Only here, where no other connection is on the call stack.
+  Owner.Budget->enforce(HeardAt);
 }
 
 void HttpConnection::parse() {
   const auto kept = shared_from_this();
-  while (Fd >= 0 && !NoMoreRequests && !Input.empty() && mayRead() &&
+  while (Fd >= 0 && !NoMoreRequests && Reader.hasInput() && mayRead() &&
          parseSome()) {
   }
+  Reader.compact();
+  updateShare();
   if (Fd >= 0) {
     updateWatch();
     arm();
@@ -211,76 +212,73 @@
 
 // @return whether more may follow in the input.
 bool HttpConnection::parseSome() {
-  if (!Current) {
-    Current.emplace();
-    Current->header_limit(
-        static_cast<std::uint32_t>(Owner.Limits.MaxHeaderBytes));
-    Current->body_limit(Owner.Limits.MaxBodyBytes);
-    ContinueSent = false;
-  }
-  // Headers are parsed alone: an eager parser loses the error of a body that is
-  // over its limit.
-  Current->eager(Current->is_header_done());
-  boost::system::error_code ec;
-  const auto n =
-      Current->put(boost::asio::const_buffer(Input.data(), Input.size()), ec);
-  Input.erase(0, n);
-  if (ec == http::error::need_more) {
-    ec = {};
-    if (!Current->is_header_done() &&
-        Input.size() > Owner.Limits.MaxHeaderBytes) {
-      refuse(431);
-      return false;
-    }
-  }
-  if (ec) {
-    refuse(refusalOf(ec));
-    return false;
-  }
-  if (!Current->is_header_done()) {
-    return false;
-  }
-  const auto &head = Current->get();
-  // A body whose end is not known to both sides could hide another request.
-  if (head.count(http::field::transfer_encoding) > 0 && !Current->chunked()) {
-    refuse(400);
+  switch (Reader.advance()) {
+  case ReadStep::Refused:
+    refuse(Reader.refusal());
     return false;
-  }
-  if (Current->is_done()) {
+  case ReadStep::Complete:
     dispatch();
     return true;
+  case ReadStep::More:
+    break;
   }
-  if (!ContinueSent && head.count(http::field::expect) > 0 && Slots.empty()) {
+  if (!ContinueSent && Slots.empty() && Reader.expectsContinue()) {
     ContinueSent = true;
     Output += "HTTP/1.1 100 Continue\r\n\r\n";
     write();
   }
-  return n > 0 && !Input.empty();
+  return false;
 }
 
 void HttpConnection::dispatch() {
   auto slot = std::make_shared<HttpSlot>();
-  auto message = Current->release();
-  Current.reset();
+  auto read = Reader.take();
+  ContinueSent = false;
+  Served = true;
   RequestBegan = HeardAt;
-  slot->Head = message.method() == http::verb::head;
+  slot->Head = read.Head;
   slot->Dispatched = true;
-  NoMoreRequests = !message.keep_alive();
+  NoMoreRequests = !read.KeepAlive;
   Slots.push_back(slot);
   ++Owner.OpenRequests;
-  Owner.onRequest(std::make_shared<Exchange>(weak_from_this(), slot,
-                                             requestOf(std::move(message))));
+  updateShare();
+  ByteLease lease(Owner.Budget,
+                  EdgeLimits::BodyCopies * read.Request.Body.size());
+  Owner.onRequest(std::make_shared<Exchange>(
+      weak_from_this(), slot, std::move(read.Request), std::move(lease)));
 }
 
 // Answers a request that is not handled, after those before it.
-void HttpConnection::refuse(int status) {
-  Current.reset();
-  Input.clear();
+void HttpConnection::refuse(const ReadRefusal &refusal) {
+  Owner.onRefused(refusal.Reason, Share.bytes());
+  Reader.clear();
   NoMoreRequests = true;
   auto slot = std::make_shared<HttpSlot>();
-  slot->Response = HttpResponse{status, {}, ""};
+  slot->Response = HttpResponse{refusal.Status, {}, ""};
+  if (refusal.Reason == EdgeRefusal::Memory) {
+    slot->Response->Headers.push_back({"Retry-After", MemoryRetryAfter});
+  }
   Slots.push_back(std::move(slot));
   flushAnswers();
+  updateShare();
+}
+
+// Frees what the connection holds for others. A request that is being read was
+// not passed on, so it is truly not run.
+void HttpConnection::giveUp() {
+  const auto kept = shared_from_this();
+  if (Reader.isReading() && !NoMoreRequests) {
+    refuse({503, EdgeRefusal::Memory});
+    Reader.clear();
+  }
+  if (Share.bytes() > ByteBudget::LeastBytes && Fd >= 0) {
+    Owner.onRefused(EdgeRefusal::Memory, Share.bytes());
+    shut();
+  }
+}
+
+void HttpConnection::updateShare() {
+  Share.set(Fd < 0 ? 0 : ConnectionBytes + Reader.heldBytes() + Held);
 }
 
 void HttpConnection::answer(HttpSlot &slot, HttpResponse response) {
@@ -295,6 +293,7 @@
   const auto held = SlotBytes + Output.size() - Written;
   Owner.HeldBytes += held - Held;
   const bool hasGrown = held > std::exchange(Held, held);
+  updateShare();
   if (hasGrown && Owner.HeldBytes > HttpServer::MaxHeldBytes) {
     Owner.onOverflow();
   }
@@ -318,7 +317,7 @@
 // Reads requests that waited for their turn; not in this call, which may come
 // from the parser itself.
 void HttpConnection::parseLater() {
-  if (Fd < 0 || Input.empty() || NoMoreRequests || !mayRead()) {
+  if (Fd < 0 || !Reader.hasInput() || NoMoreRequests || !mayRead()) {
     return;
   }
   Loop.schedule(Loop.now(), [weak = weak_from_this()] {
@@ -385,6 +384,7 @@
 void HttpConnection::startLinger() {
   Lingering = true;
   HeardAt = Loop.now();
+  LingerUntil = HeardAt + MaxLinger;
   ::shutdown(Fd, SHUT_WR);
 }
 
@@ -419,19 +419,23 @@
 void HttpConnection::onTimer() {
   const auto now = Loop.now();
   if (Lingering) {
-    return now >= HeardAt + LingerTimeout ? shut() : arm();
+    return now >= std::min(HeardAt + LingerTimeout, LingerUntil) ? shut()
+                                                                 : arm();
   }
   if (Blocked && now >= TakenAt + Owner.Limits.IdleTimeout) {
     return shut();
   }
-  const bool reading = Current.has_value() || !Input.empty();
-  const bool inHeader = reading && !(Current && Current->is_header_done());
-  if (inHeader && mayRead() &&
+  const bool reading = Reader.isReading();
+  if (Reader.inHeader() && mayRead() &&
       now >= RequestBegan + Owner.Limits.HeaderTimeout) {
-    return refuse(408);
+    return refuse({408, EdgeRefusal::Slow});
+  }
+  if (reading && !Reader.inHeader() &&
+      now >= RequestBegan + Owner.Limits.BodyTimeout) {
+    return refuse({408, EdgeRefusal::Slow});
   }
   if (Slots.empty() && !Blocked && now >= HeardAt + Owner.Limits.IdleTimeout) {
-    return reading ? refuse(408) : shut();
+    return reading ? refuse({408, EdgeRefusal::Slow}) : shut();
   }
   arm();
 }
--- a/src/io/http_connection.h
+++ b/src/io/http_connection.h
@@ -5,13 +5,12 @@
 #ifndef CHIVEFOLD_IO_HTTP_CONNECTION_H
 #define CHIVEFOLD_IO_HTTP_CONNECTION_H
 
+#include "chivefold/io/byte_budget.h"
 #include "chivefold/io/http_server.h"
 #include "descriptor_watch.h"
+#include "request_reader.h"
 
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <deque>
-#include <optional>
 #include <string>
 
 namespace chivefold {
@@ -21,12 +20,19 @@
 /** What the connections of one server share and report. */
 class HttpConnectionOwner {
 public:
+  explicit HttpConnectionOwner(std::shared_ptr<ByteBudget> budget)
+      : Budget(std::move(budget)) {}
   virtual ~HttpConnectionOwner() = default;
   virtual void onRequest(std::shared_ptr<HttpExchange> exchange) = 0;
   /** Called once, when the descriptor is closed. */
   virtual void onClosed(HttpConnection &connection) = 0;
 
+  /** Counts and logs a request that is refused before it is handled. */
+  virtual void onRefused(EdgeRefusal reason, std::size_t held) = 0;
+
   HttpServerLimits Limits;
+  /** What the connections of the process hold together. */
+  std::shared_ptr<ByteBudget> Budget;
   /** Requests given to the handler whose answers are not written in full. */
   std::size_t OpenRequests = 0;
   /** Bytes of answers that are not written yet, over all connections. */
@@ -55,9 +61,14 @@
   /** @return whether no request was read, in part or whole, without its
    * response being written. */
   bool isIdle() const {
-    return Slots.empty() && Input.empty() && !Current && Output.empty() &&
-           !Lingering;
+    return Slots.empty() && !Reader.isReading() && Output.empty() && !Lingering;
   }
+  /** @return whether it may be closed for another connection: no request of it
+   * is being handled or answered. */
+  bool isReplaceable() const { return Lingering || Slots.empty(); }
+  /** @return whether a request of it was handled. */
+  bool hasServed() const { return Served; }
+  TimePoint heardAt() const { return HeardAt; }
   /** Writes the responses that are next in order. */
   void flushAnswers();
   /** Stores the response of a request and writes those that are next. */
@@ -66,18 +77,17 @@
   std::size_t held() const { return Held; }
 
 private:
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
-
   void onReady(ACE_Reactor_Mask mask);
   void receive();
   void parse();
   bool parseSome();
   void dispatch();
-  void refuse(int status);
+  void refuse(const ReadRefusal &refusal);
+  void giveUp();
   void write();
   void appendAnswer(HttpSlot &slot, bool last);
   void updateHeld();
+  void updateShare();
   void parseLater();
   void updateWatch();
   void arm();
@@ -89,10 +99,12 @@
   HttpConnectionOwner &Owner;
   int Fd;
   std::unique_ptr<DescriptorWatch> Watch;
-  std::string Input;
-  std::optional<Parser> Current;
+  RequestReader Reader;
+  /** What the reader and the answers hold. */
+  ByteHolder Share;
   bool Blocked = false;
   bool ContinueSent = false;
+  bool Served = false;
   std::deque<std::shared_ptr<HttpSlot>> Slots;
   std::string Output;
   std::size_t Written = 0;
@@ -110,6 +122,7 @@
   /** The last answer was written; input is discarded until the caller closes,
    * since closing with unread input would reset the connection. */
   bool Lingering = false;
+  TimePoint LingerUntil{};
   TimePoint HeardAt;
   TimePoint RequestBegan;
   TimerId Timer = TimerId::None;
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -1,5 +1,6 @@
 #include "chivefold/io/http_server.h"
 
+#include "chivefold/io/logging.h"
 #include "http_connection.h"
 #include "listener.h"
 
@@ -11,13 +12,15 @@
 namespace {
 
 // Connections accepted in one turn of the loop.
-constexpr int MaxAccepts = 64;
+constexpr std::size_t MaxAccepts = 64;
 
 } // namespace
 
 struct HttpServer::Impl : HttpConnectionOwner {
-  Impl(Reactor &r, Address listen, HttpHandler handler)
-      : Loop(r), Listen(std::move(listen)), Handler(std::move(handler)) {}
+  Impl(Reactor &r, Address listen, HttpHandler handler,
+       std::shared_ptr<ByteBudget> budget)
+      : HttpConnectionOwner(std::move(budget)), Loop(r),
+        Listen(std::move(listen)), Handler(std::move(handler)) {}
   ~Impl() override {
     quiesce();
     // A connection that is shut leaves the table.
@@ -33,6 +36,7 @@
   Status start();
   void quiesce();
   void acceptConnections();
+  bool makeRoom();
 
   void onRequest(std::shared_ptr<HttpExchange> exchange) override {
     Handler(std::move(exchange));
@@ -47,12 +51,15 @@
   }
 
   void onOverflow() override;
+  void onRefused(EdgeRefusal reason, std::size_t held) override;
 
   Reactor &Loop;
   Address Listen;
   HttpHandler Handler;
   Listener Socket;
   TimerId Shedding = TimerId::None;
+  EdgeCounts Refusals{};
+  Logger Lines{"edge"};
   std::unordered_map<HttpConnection *, std::shared_ptr<HttpConnection>>
       Connections;
 };
@@ -95,15 +102,52 @@
   });
 }
 
+void HttpServer::Impl::onRefused(EdgeRefusal reason, std::size_t held) {
+  ++Refusals[static_cast<std::size_t>(reason)];
+  Lines.info("refused by the edge", {{"reason", edgeRefusalName(reason)},
+                                     {"address", toString(Listen)},
+                                     {"held_bytes", held},
+                                     {"all_held_bytes", Budget->held()},
+                                     {"budget_bytes", Budget->limit()},
+                                     {"connections", Connections.size()}});
+}
+
+// Closes the connection without an open request that was silent longest, first
+// those that never had a request. @return whether there is room for another.
+bool HttpServer::Impl::makeRoom() {
+  if (Connections.size() < Limits.MaxConnections) {
+    return true;
+  }
+  std::shared_ptr<HttpConnection> oldest;
+  for (const auto &it : Connections) {
+    const auto &open = it.second;
+    if (open->isReplaceable() &&
+        (!oldest ||
+         std::make_pair(open->hasServed(), open->heardAt()) <
+             std::make_pair(oldest->hasServed(), oldest->heardAt()))) {
+      oldest = open;
+    }
+  }
+  onRefused(EdgeRefusal::Connections, oldest ? oldest->held() : 0);
+  if (oldest) {
+    oldest->shut();
+  }
+  return oldest != nullptr;
+}
+
+// A part of the connections a turn, so that those accepted are read before they
+// have to make room.
 void HttpServer::Impl::acceptConnections() {
-  for (int i = 0; i < MaxAccepts; ++i) {
+  const auto most =
+      std::min<std::size_t>(MaxAccepts, Limits.MaxConnections / 4 + 1);
+  for (std::size_t i = 0; i < most; ++i) {
     ACE_SOCK_Stream stream;
     ACE_INET_Addr from;
     if (!Socket.accept(stream, from)) {
       return;
     }
     stream.enable(ACE_NONBLOCK);
-    if (Connections.size() >= HttpLimits::MaxConnections) {
+    if (!makeRoom()) {
       stream.close();
       continue;
     }
@@ -114,9 +158,12 @@
   }
 }
 
-HttpServer::HttpServer(Reactor &reactor, Address listen, HttpHandler handler)
-    : State(std::make_unique<Impl>(reactor, std::move(listen),
-                                   std::move(handler))) {}
+HttpServer::HttpServer(Reactor &reactor, Address listen, HttpHandler handler,
+                       std::shared_ptr<ByteBudget> budget)
+    : State(std::make_unique<Impl>(
+          reactor, std::move(listen), std::move(handler),
+          budget ? std::move(budget)
+                 : std::make_shared<ByteBudget>(EdgeLimits().budgetBytes()))) {}
 
 HttpServer::~HttpServer() = default;
 
@@ -134,4 +181,6 @@
 
 std::size_t HttpServer::openRequests() const { return State->OpenRequests; }
 
+const EdgeCounts &HttpServer::refusals() const { return State->Refusals; }
+
 } // namespace chivefold
--- a/src/io/peer_link.cpp
+++ b/src/io/peer_link.cpp
@@ -57,7 +57,7 @@
 PeerLink::PeerLink(Reactor &reactor, PeerLinkOwner &owner, Address peer,
                    bool inbound)
     : Loop(reactor), Owner(owner), Peer(std::move(peer)), Inbound(inbound),
-      HeardAt(reactor.now()) {}
+      Share(owner.Budget, [this] { giveUp(); }), HeardAt(reactor.now()) {}
 
 PeerLink::~PeerLink() { close(); }
 
@@ -113,6 +113,7 @@
     Watch->watch(ACE_Event_Handler::NULL_MASK);
   }
   Stream.close();
+  Share.set(0);
 }
 
 void PeerLink::fail(const Reason &reason) {
@@ -122,6 +123,21 @@
   }
 }
 
+void PeerLink::updateShare() {
+  Share.set(Closed ? 0 : Input.size() + QueuedBytes);
+}
+
+// Frees what the link holds for others: a peer that neither ends its frame nor
+// reads its answers.
+void PeerLink::giveUp() {
+  fail({ErrorCode::Overloaded, "the link holds too much memory"});
+  if (!Parsing) {
+    std::string().swap(Input);
+  }
+  Queue.clear();
+  QueuedBytes = 0;
+}
+
 void PeerLink::failLater(Reason reason) {
   if (!Closed && FailTimer == TimerId::None) {
     FailTimer = Loop.schedule(
@@ -192,6 +208,7 @@
     }
     Input.append(chunk.data(), static_cast<std::size_t>(n));
     HeardAt = Loop.now();
+    Share.received(static_cast<std::size_t>(n), HeardAt);
     Owner.BytesReceived += static_cast<std::uint64_t>(n);
     Parsing = true;
     const bool valid = parse();
@@ -200,6 +217,8 @@
       fail({ErrorCode::InvalidRecord, "invalid frame"});
       return;
     }
+    updateShare();
+    Owner.Budget->enforce(HeardAt);
     if (static_cast<std::size_t>(n) < ReadBytes) {
       return;
     }
@@ -246,6 +265,7 @@
       frame->body_type() > wire::FrameBody::MAX) {
     return false;
   }
+  Proven = true;
   wire::FrameT unpacked;
   frame->UnPackTo(&unpacked);
   if (Aligned.size() * 8 > KeptBytes) {
@@ -270,6 +290,7 @@
     return false;
   }
   QueuedBytes += frame.size();
+  Share.set(Share.bytes() + frame.size());
   Queue.push_back({std::move(frame), requestId});
   if (Open && !Blocked && FlushTimer == TimerId::None) {
     // Frames of the same turn are sent together.
@@ -291,6 +312,7 @@
   }
   QueuedBytes -= it->Bytes.size();
   Queue.erase(it);
+  updateShare();
   return true;
 }
 
@@ -329,6 +351,7 @@
     QueuedBytes -= n;
     Queue.pop_front();
   }
+  updateShare();
 }
 
 void PeerLink::watchSilence() {
--- a/src/io/peer_link.h
+++ b/src/io/peer_link.h
@@ -23,11 +23,15 @@
 /** What a link reports to its network, always from the loop. */
 class PeerLinkOwner {
 public:
+  explicit PeerLinkOwner(std::shared_ptr<ByteBudget> budget)
+      : Budget(std::move(budget)) {}
   virtual ~PeerLinkOwner() = default;
   virtual void onFrame(PeerLink &link, wire::FrameT &frame) = 0;
   /** Called once; the link is closed afterwards. */
   virtual void onBroken(PeerLink &link, const Reason &reason) = 0;
 
+  /** What all connections of the process hold together. */
+  std::shared_ptr<ByteBudget> Budget;
   std::uint64_t BytesSent = 0;
   std::uint64_t BytesReceived = 0;
 };
@@ -69,6 +73,9 @@
   const Address &peer() const { return Peer; }
   bool inbound() const { return Inbound; }
   bool isClosed() const { return Closed; }
+  /** @return whether the other end is known to be a daemon: this side chose it,
+   * or it has sent a valid frame. */
+  bool isProven() const { return !Inbound || Proven; }
   bool idle() const {
     return Outstanding.empty() && Served.empty() && Queue.empty();
   }
@@ -97,6 +104,8 @@
   void consume(std::size_t written);
   void checkSilence();
   void fail(const Reason &reason);
+  void updateShare();
+  void giveUp();
 
   Reactor &Loop;
   PeerLinkOwner &Owner;
@@ -106,6 +115,7 @@
   bool Closed = false;
   bool Blocked = false;
   bool Parsing = false;
+  bool Proven = false;
   ACE_SOCK_Stream Stream;
   std::unique_ptr<DescriptorWatch> Watch;
   std::deque<OutFrame> Queue;
@@ -114,6 +124,8 @@
   std::size_t WrittenBytes = 0;
   std::string Input;
   std::vector<std::uint64_t> Aligned;
+  /** What Input and Queue hold. */
+  ByteHolder Share;
   TimePoint HeardAt;
   TimerId FlushTimer = TimerId::None;
   TimerId SilenceTimer = TimerId::None;
--- a/src/io/peer_network.cpp
+++ b/src/io/peer_network.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <iterator>
 #include <sys/socket.h>
+#include <tuple>
 
 namespace chivefold {
 
@@ -21,6 +22,11 @@
   return {buf.data(), a.get_port_number()};
 }
 
+// Order in which idle links are closed.
+std::tuple<bool, bool, std::uint64_t> rankOf(const PeerLink &link) {
+  return {link.isProven(), link.inbound(), link.LastUse};
+}
+
 } // namespace
 
 struct PeerNetwork::Impl : PeerLinkOwner {
@@ -30,8 +36,12 @@
     TimerId Timer = TimerId::None;
   };
 
-  Impl(Reactor &r, Address listen, PeerHandler handler)
-      : Loop(r), Listen(std::move(listen)), Handler(std::move(handler)) {}
+  Impl(Reactor &r, Address listen, PeerHandler handler, PeerAllowance allowance)
+      : PeerLinkOwner(allowance.Budget ? std::move(allowance.Budget)
+                                       : std::make_shared<ByteBudget>(
+                                             EdgeLimits().budgetBytes())),
+        Loop(r), Listen(std::move(listen)), Handler(std::move(handler)),
+        MaxLinks(allowance.MaxLinks) {}
   ~Impl() override;
   Impl(const Impl &) = delete;
   Impl &operator=(const Impl &) = delete;
@@ -63,6 +73,7 @@
   Reactor &Loop;
   Address Listen;
   PeerHandler Handler;
+  std::size_t MaxLinks;
   Listener Socket;
   std::unordered_map<PeerLink *, std::shared_ptr<PeerLink>> Links;
   std::unordered_map<Address, PeerLink *> Outbound;
@@ -113,18 +124,18 @@
   }
 }
 
-// Closes the least recently used idle link if there are too many. Links that
-// this side opened go first: the peer may be sending a request on another.
+// Closes an idle link if there are too many: first those of others without a
+// frame yet, which need not be daemons, then the least recently used. Of these,
+// links that this side opened go first: the peer may be sending a request on
+// another.
 bool PeerNetwork::Impl::makeRoom() {
-  if (Links.size() < PeerLimits::MaxLinks) {
+  if (Links.size() < MaxLinks) {
     return true;
   }
   std::shared_ptr<PeerLink> oldest;
   for (const auto &it : Links) {
     const auto &link = it.second;
-    const auto rank = std::make_pair(link->inbound(), link->LastUse);
-    if (link->idle() && (!oldest || rank < std::make_pair(oldest->inbound(),
-                                                          oldest->LastUse))) {
+    if (link->idle() && (!oldest || rankOf(*link) < rankOf(*oldest))) {
       oldest = link;
     }
   }
@@ -342,9 +353,10 @@
   }
 }
 
-PeerNetwork::PeerNetwork(Reactor &reactor, Address listen, PeerHandler handler)
+PeerNetwork::PeerNetwork(Reactor &reactor, Address listen, PeerHandler handler,
+                         PeerAllowance allowance)
     : State(std::make_unique<Impl>(reactor, std::move(listen),
-                                   std::move(handler))) {}
+                                   std::move(handler), std::move(allowance))) {}
 
 PeerNetwork::~PeerNetwork() = default;
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -2,6 +2,7 @@
 
 #include "chivefold/daemon/wire_convert.h"
 #include "chivefold/sidecar/backend_service.h"
+#include "chivefold/sidecar/edge_metrics.h"
 #include "chivefold/sidecar/fleet_service.h"
 #include "chivefold/sidecar/order_feed.h"
 #include "chivefold/sidecar/proxy_service.h"
@@ -20,6 +21,8 @@
 constexpr Duration DeregistrationDelay = std::chrono::milliseconds(2600);
 /** Part of the grace period reserved for the exit of the process. */
 constexpr Duration ExitReserve = std::chrono::milliseconds(500);
+/** Retry-After value of a call for whose body there is no memory. */
+constexpr Duration BudgetRetryAfter = std::chrono::seconds(1);
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(50);
 /** Without known peers, the daemon is ready after this time: the fleet may
  * consist of one host. */
@@ -123,6 +126,7 @@
   void onAdmin(const std::shared_ptr<HttpExchange> &exchange);
   void onReport(const std::shared_ptr<HttpExchange> &exchange);
   void onLeave(const std::shared_ptr<HttpExchange> &exchange);
+  HttpServerLimits edgeLimits(std::size_t connections) const;
   bool isReady() const;
   void logTraffic();
   void drain(TimePoint earliest, TimePoint latest);
@@ -133,6 +137,8 @@
   std::mt19937_64 Seeds;
   std::uint64_t BootId;
   std::uint64_t Sequence = 0;
+  /** Bytes that all connections of this process hold. */
+  std::shared_ptr<ByteBudget> Budget;
   TimePoint StartedAt;
   bool Leaving = false;
   /** New requests of clients are refused. */
@@ -168,15 +174,18 @@
                     const PlatformPorts &ports, const StoreAccess &store,
                     std::uint64_t seed)
     : Loop(reactor), Own(std::move(settings)), Ports(ports), Seeds(seed),
-      BootId(Seeds()), StartedAt(Loop.now()), Store(store),
-      Orders(ports.Orders), Versions(Orders), Hosts(Seeds()),
+      BootId(Seeds()),
+      Budget(std::make_shared<ByteBudget>(Own.Edge.budgetBytes())),
+      StartedAt(Loop.now()), Store(store), Orders(ports.Orders),
+      Versions(Orders), Hosts(Seeds()),
       Plan(Hosts, Own.PeerListen, Own.DataCentre, Seeds()),
       Readers(Hosts, Own.PeerListen, Own.DataCentre),
       Servers(Hosts, Orders, Versions, Own.PeerListen, Own.DataCentre, Seeds()),
       CallMetrics(MetricsSettings()), ServerHttp(Loop, InitialConnections),
       Network(Loop, Own.PeerListen,
               [this](const Address & /*link*/, wire::FrameBodyUnion &body,
-                     const PeerResponder &respond) { onFrame(body, respond); }),
+                     const PeerResponder &respond) { onFrame(body, respond); },
+              {Budget, Own.Edge.connections().Peers}),
       Poison(
           Loop, Network, [this](std::size_t n) { return Fleet.randomHosts(n); },
           Seeds()),
@@ -211,18 +220,27 @@
       Proxy(Loop, Network,
             {ports, Orders, Feed, Servers, Backend, Poison, CallMetrics},
             Own.PeerListen, Own.Service),
-      CallerServer(Loop, Own.CallerListen,
-                   [this](const std::shared_ptr<HttpExchange> &exchange) {
-                     Proxy.handle(exchange);
-                   }),
-      AdminServer(Loop, Own.AdminListen,
-                  [this](const std::shared_ptr<HttpExchange> &exchange) {
-                    onAdmin(exchange);
-                  }),
-      ReadinessServer(Loop, Own.ReadinessListen,
-                      [this](const std::shared_ptr<HttpExchange> &exchange) {
-                        exchange->respond({isReady() ? 200 : 503, {}, ""});
-                      }) {
+      CallerServer(
+          Loop, Own.CallerListen,
+          [this](const std::shared_ptr<HttpExchange> &exchange) {
+            Proxy.handle(exchange);
+          },
+          Budget),
+      AdminServer(
+          Loop, Own.AdminListen,
+          [this](const std::shared_ptr<HttpExchange> &exchange) {
+            onAdmin(exchange);
+          },
+          Budget),
+      ReadinessServer(
+          Loop, Own.ReadinessListen,
+          [this](const std::shared_ptr<HttpExchange> &exchange) {
+            exchange->respond({isReady() ? 200 : 503, {}, ""});
+          },
+          Budget) {
+  CallerServer.setLimits(edgeLimits(Own.Edge.connections().Callers));
+  AdminServer.setLimits(edgeLimits(Own.Edge.connections().Admin));
+  ReadinessServer.setLimits(edgeLimits(Own.Edge.connections().Readiness));
   Network.onCancel([this](std::uint64_t token) { onCancel(token); });
 }
 
@@ -238,6 +256,13 @@
   return out;
 }
 
+HttpServerLimits Sidecar::Impl::edgeLimits(std::size_t connections) const {
+  HttpServerLimits out;
+  out.BodyTimeout = Own.Edge.BodyTimeout;
+  out.MaxConnections = connections;
+  return out;
+}
+
 bool Sidecar::Impl::isReady() const {
   const bool knowsPeers = Hosts.hosts().size() > 1 ||
                           Loop.now() >= StartedAt + SingleHostReadyDelay;
@@ -253,8 +278,12 @@
 void Sidecar::Impl::onOrders(const OperatorChange &change) {
   if (change.Configuration) {
     const auto &limits = Orders.routes()->configuration().Limits;
-    CallerServer.setLimits({limits.MaxHeaderBytes, limits.MaxBodyBytes,
-                            limits.HeaderTimeout, limits.IdleTimeout});
+    auto edge = edgeLimits(Own.Edge.connections().Callers);
+    edge.MaxHeaderBytes = limits.MaxHeaderBytes;
+    edge.MaxBodyBytes = limits.MaxBodyBytes;
+    edge.HeaderTimeout = limits.HeaderTimeout;
+    edge.IdleTimeout = limits.IdleTimeout;
+    CallerServer.setLimits(edge);
   }
   Rollouts.ordersChanged();
   Servers.refresh();
@@ -297,10 +326,18 @@
   if (!respond) {
     return;
   }
+  const auto bytes = EdgeLimits::BodyCopies * request.body.size();
+  if (!Budget->admits(bytes)) {
+    return respond(
+        frameBody(toWire(failedCall(Outcome::NotRun, ErrorCode::Overloaded, 503,
+                                    BudgetRetryAfter),
+                         Loop.now())));
+  }
   const auto token = Network.requestToken();
+  const auto lease = std::make_shared<ByteLease>(Budget, bytes);
   const auto id = Backend.run(
       fromWire(request, Loop.now()),
-      [this, token, respond](const CallResult &result) {
+      [this, token, respond, lease](const CallResult &result) {
         PeerCalls.erase(token);
         respond(frameBody(toWire(result, Loop.now())));
       },
@@ -337,7 +374,10 @@
              revokedMetrics(Backend) +
              ignoredMetrics({MalformedReports, OutdatedReports,
                              Feed.ignoredRecords(), Fleet.ignoredEntries()}) +
-             eraMetrics(Store.Era, Orders)});
+             eraMetrics(Store.Era, Orders) +
+             edgeMetrics(*Budget, {{"callers", &CallerServer},
+                                   {"admin", &AdminServer},
+                                   {"readiness", &ReadinessServer}})});
   }
   if (request.Path == "/-/ready") {
     return exchange->respond({isReady() ? 200 : 503, {}, ""});
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -12,6 +12,13 @@
 constexpr double MinGraceSeconds = 0.5;
 constexpr double MaxGraceSeconds = 600;
 constexpr double MaxExposureSlack = 1e6;
+/** Allowed ranges of the limits for connections. */
+constexpr std::size_t MinMemoryMb = 1;
+constexpr std::size_t MaxMemoryMb = 1000000;
+constexpr std::size_t MinDescriptors = 1;
+constexpr std::size_t MaxDescriptors = 1000000;
+constexpr double MinBodySeconds = 1;
+constexpr double MaxBodySeconds = 86400;
 
 void addName(CLI::App &app, const std::string &flag, std::string &to,
              const std::string &help) {
@@ -33,6 +40,30 @@
   add("--store", s.Store, "address of the platform's store");
 }
 
+// What connections may take; see EdgeLimits.
+void addEdgeOptions(CLI::App &app, EdgeLimits &to) {
+  bindEnvironmentVariable(
+      app.add_option("--memory-limit-mb", to.MemoryMb,
+                     "memory of the host for this process, in MB (10^6 bytes)"))
+      ->check(CLI::Range(MinMemoryMb, MaxMemoryMb))
+      ->capture_default_str();
+  bindEnvironmentVariable(
+      app.add_option("--descriptor-limit", to.Descriptors,
+                     "descriptors that this process may have open"))
+      ->check(CLI::Range(MinDescriptors, MaxDescriptors))
+      ->capture_default_str();
+  const auto setTimeout = [&to](const double &seconds) {
+    to.BodyTimeout = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(seconds));
+  };
+  bindEnvironmentVariable(
+      app.add_option_function<double>(
+          "--body-timeout-seconds", setTimeout,
+          "longest time from a request's first byte to the end of its body"))
+      ->check(CLI::Range(MinBodySeconds, MaxBodySeconds))
+      ->default_str("300");
+}
+
 } // namespace
 
 ParsedSidecarSettings parseSidecarSettings(int argc, const char *const *argv) {
@@ -66,6 +97,7 @@
                      "requests that a bad version may receive in addition"))
       ->check(CLI::Range(0.0, MaxExposureSlack))
       ->capture_default_str();
+  addEdgeOptions(app, s.Edge);
   addLogLevelOption(app, s.LogLevel);
   if (auto exit = parseCommandLine(app, "chivefold-sidecar", argc, argv)) {
     parsed.Output = std::move(exit->Output);
