--- a/tests/unit/log_client_test.cpp
+++ b/tests/unit/log_client_test.cpp
@@ -55,7 +55,7 @@
       Script.erase(Script.begin());
     }
     if (step == 0 || step == 200) {
-      Records.push_back(exchange.request().Body);
+      Records.emplace_back(exchange.request().Body.view());
     }
     // Any status but 200 leaves open whether the record was stored.
     exchange.respond(
