--- a/include/chivefold/sidecar/sidecar_settings.h
+++ b/include/chivefold/sidecar/sidecar_settings.h
@@ -6,6 +6,7 @@
 #define CHIVEFOLD_SIDECAR_SIDECAR_SETTINGS_H
 
 #include "chivefold/core/types.h"
+#include "chivefold/io/edge_limits.h"
 #include "chivefold/mesh/exposure_budget.h"
 #include "chivefold/mesh/placement.h"
 #include "chivefold/mesh/retry_budget.h"
@@ -37,6 +38,8 @@
   std::optional<RetryTerms> Retries;
   /** How servers are chosen for requests. */
   PlacementStrategy Strategy = PlacementStrategy::Learned;
+  /** What connections from outside may take of this host. */
+  EdgeLimits Edge;
   /** Maximum duration of a planned stop. */
   Duration GracePeriod = std::chrono::seconds(6);
   /** Path of the settings file; "" if there is none. */
