Explain where a request would go, without sending it

Operators had to infer from log lines why a server got no requests. The sidecar now answers /-/explain on its admin address, and chivefold explain shows it: the route, each service that it leads to, and for each server what the daemon expects of it and what rules it out.

It draws no random number and leaves the balance of a rollout as it is: 400 choices with and without an explanation before each are the same, and each chosen server is one that the explanation lists as possible, within the random part of its value.

Not in it: which service of a weighted route is next (the split has no way to ask), the customer's rank, which does not exist here yet, and for a cold server the time until its gate lets a request start.

--- a/include/chivefold/daemon/operator_commands.h
+++ b/include/chivefold/daemon/operator_commands.h
@@ -198,6 +198,20 @@
 OperatorResult showView(OperatorView view, OperatorContext &context,
                         const Address &admin, bool json);
 
+/** Flags of `chivefold explain`. */
+struct ExplainOptions {
+  Address Admin;
+  std::string Host;
+  std::string Path;
+  bool Json = false;
+};
+
+/** Implements `chivefold explain`: shows where the sidecar at an admin address
+ * would send a request now. BadInput if the request cannot exist, Refused if
+ * the sidecar does not answer or has no route for it. */
+OperatorResult showExplanation(OperatorContext &context,
+                               const ExplainOptions &options);
+
 /** Flags of `chivefold report`. */
 struct ReportOptions {
   std::vector<Address> Admins;
--- a/include/chivefold/mesh/placement.h
+++ b/include/chivefold/mesh/placement.h
@@ -9,6 +9,7 @@
 #include "chivefold/core/types.h"
 #include "chivefold/mesh/fleet_table.h"
 #include "chivefold/mesh/operator_state.h"
+#include "chivefold/mesh/placement_view.h"
 #include "chivefold/mesh/version_policy.h"
 
 #include <array>
@@ -121,6 +122,11 @@
   /** Chooses a server for an attempt; does not count it as sent. */
   PlacementChoice choose(const PlacementRequest &request, TimePoint now);
 
+  /** @return how all servers of the service stand for an attempt now, the one
+   * that choose() prefers first. Changes nothing. */
+  std::vector<CandidateView> explain(const PlacementRequest &request,
+                                     TimePoint now) const;
+
   /** Records that a request was sent to @p peer. Exactly one of answered(),
    * refused(), lost() and cancelled() must follow, with notDelivered() before
    * it if no server received the request. */
@@ -160,6 +166,7 @@
                              const std::string &version) const;
 
 private:
+  class Explainer;
   /** What this daemon knows of a server. */
   struct ServerLoad {
     /** Requests of this daemon in progress at the server. */
--- a/src/daemon/operator_commands.cpp
+++ b/src/daemon/operator_commands.cpp
@@ -23,6 +23,8 @@
   std::uint64_t Base = 0;
   bool WholeFleet = false;
   bool Json = false;
+  std::string Host;
+  std::string Path;
 };
 
 std::string validateLogUrl(const std::string &text) {
@@ -96,6 +98,15 @@
   sub->add_option("--html", flags.HtmlFile, "also write an HTML page");
 }
 
+void addExplainCommand(CLI::App &app, Flags &flags) {
+  auto *sub = addSubcommand(app, flags, "explain",
+                            "show where a sidecar would send a request now, "
+                            "and why, without sending it");
+  addAdminOption(sub, flags.Admin, "admin address of the sidecar")->required();
+  sub->add_option("--host", flags.Host, "host name of the request")->required();
+  sub->add_option("--path", flags.Path, "path of the request")->required();
+}
+
 void addCommands(CLI::App &app, Flags &flags) {
   auto *check =
       addSubcommand(app, flags, "check", "check a configuration file");
@@ -138,6 +149,7 @@
         ->required();
   }
   addReportCommand(app, flags);
+  addExplainCommand(app, flags);
 }
 
 OperatorResult invalidInput(const std::string &message) {
@@ -200,6 +212,10 @@
         flags.DataCentre, name == "take-out", context,
         {flags.LogUrl, parseAddress(flags.Admin), flags.Json});
   }
+  if (name == "explain") {
+    return showExplanation(context, {*parseAddress(flags.Admin), flags.Host,
+                                     flags.Path, flags.Json});
+  }
   if (name == "report") {
     return runReport(flags, context);
   }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -2,6 +2,7 @@
 
 #include "chivefold/daemon/wire_convert.h"
 #include "chivefold/sidecar/backend_service.h"
+#include "chivefold/sidecar/explanation.h"
 #include "chivefold/sidecar/fleet_service.h"
 #include "chivefold/sidecar/order_feed.h"
 #include "chivefold/sidecar/proxy_service.h"
@@ -339,6 +340,12 @@
                              Feed.ignoredRecords(), Fleet.ignoredEntries()}) +
              eraMetrics(Store.Era, Orders)});
   }
+  if (request.Path == "/-/explain") {
+    return exchange->respond(
+        explain({Orders, Versions, Servers, Own.DataCentre, Feed.mayBeStale()},
+                queryValue(request.Query, "host"),
+                queryValue(request.Query, "path"), Loop.now()));
+  }
   if (request.Path == "/-/ready") {
     return exchange->respond({isReady() ? 200 : 503, {}, ""});
   }
