--- a/src/mesh/placement_work.cpp
+++ b/src/mesh/placement_work.cpp
@@ -41,6 +41,15 @@
   return evidence.IsUneven;
 }
 
+// Whether the last choice for the service was by expected work.
+bool Placement::lastChoseByWork(const std::string &service) const {
+  if (Settings.Strategy != PlacementStrategy::Learned) {
+    return Settings.Strategy == PlacementStrategy::ExpectedWork;
+  }
+  const auto it = Evidence.find(service);
+  return it != Evidence.end() && it->second.IsUneven;
+}
+
 // Estimates how long a request would wait for a slot. What was reported loses
 // its meaning within the time in which a server renews its work; then the mean
 // of the reports counts, and what the server has to do is uncertain. Requests
