Report the usage of each customer once a window

Requests are counted by the daemon beside the server when they are sent there, passed on in a tree over the reachable hosts, and closed by its root, which holds the lease of the duty. The counts of a window are fixed by a conditional append before they are reported; a report is repeated as it was until it is accepted. Fences rise with the offset and the era of the store. In force only where the settings name an address for reports; no message is sent elsewhere.

--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -119,6 +119,12 @@
    * the shares of versions have changed. */
   void ordersChanged();
 
+  /** Told of each request that is sent to the server at @p at, with @p change
+   * 1, and with -1 if the server states that it has not run. */
+  using RunObserver = std::function<void(const std::string &customer,
+                                         TimePoint at, int change)>;
+  void onRun(RunObserver observer) { Observer = std::move(observer); }
+
   /** @return whether the caller still waits for the answer. Checked before a
    * queued call is started; the callback may cancel the call. */
   using CallerWaiting = std::function<bool()>;
@@ -208,6 +214,7 @@
   const Address Host;
   std::string DataCentre;
   std::function<void()> Changed;
+  RunObserver Observer;
 
   /** Identifies one run of a server process. */
   struct Start {
--- a/include/chivefold/sidecar/ports.h
+++ b/include/chivefold/sidecar/ports.h
@@ -11,6 +11,7 @@
 #include "chivefold/mesh/operator_state.h"
 #include "chivefold/mesh/server_statements.h"
 #include "chivefold/mesh/store_history.h"
+#include "chivefold/mesh/usage_windows.h"
 #include "chivefold/mesh/version_policy.h"
 
 #include <cstdint>
@@ -119,7 +120,9 @@
   /** Progress of rollouts, keyed by service. */
   Rollouts,
   /** Status of rollouts, written for the operator. */
-  RolloutStatus
+  RolloutStatus,
+  /** Lease of the usage reports, and the counts that were fixed. */
+  Usage
 };
 
 /** Consecutive records of a stream. */
@@ -211,12 +214,32 @@
   virtual std::string encode(const RolloutProgress &progress) const = 0;
 };
 
+/** Usage of the customers in one window. */
+struct UsageReport {
+  /** Name of the host that reports. */
+  std::string Holder;
+  /** Increases whenever the holder changes. */
+  std::uint64_t Fence = 0;
+  WindowNumber Window = 0;
+  UsageCounts Counts;
+};
+
+/** Encodes usage reports. Thread-safe. */
+class UsageReportCodec {
+public:
+  virtual ~UsageReportCodec() = default;
+  /** @return the request, the same for the same report. */
+  virtual HttpRequest encode(const UsageReport &report) const = 0;
+};
+
 /** The codecs of the platform; they must outlive the sidecar. */
 struct PlatformPorts {
   const RequestProtocol &Requests;
   const ReportCodec &Reports;
   const OperatorCodec &Orders;
   const StatusCodec &Statuses;
+  /** Null if the platform takes no usage reports. */
+  const UsageReportCodec *Usage = nullptr;
 };
 
 } // namespace chivefold
--- a/include/chivefold/sidecar/sidecar_settings.h
+++ b/include/chivefold/sidecar/sidecar_settings.h
@@ -7,6 +7,7 @@
 
 #include "chivefold/core/types.h"
 #include "chivefold/mesh/exposure_budget.h"
+#include "chivefold/sidecar/usage_settings.h"
 
 #include <optional>
 #include <string>
@@ -31,6 +32,8 @@
   std::string LogLevel = "info";
   /** Limits the requests sent to a new version before its rollout completes. */
   ExposureLimit Exposure;
+  /** Reports of the customers' usage; off without an address. */
+  UsageSettings Usage;
   /** Maximum duration of a planned stop. */
   Duration GracePeriod = std::chrono::seconds(6);
   /** Path of the settings file; "" if there is none. */
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -241,6 +241,9 @@
   call.ServerStart = Statements.limit().ServerStart;
   Sent.record(now);
   SentAt = now;
+  if (Observer) {
+    Observer(call.Message.Customer, now, 1);
+  }
   HttpCall http;
   http.Method = call.Message.Method;
   http.Url = "http://" + toString(Upstream) + call.Message.Target;
@@ -313,6 +316,9 @@
   result.CallRefused = result.Result == Outcome::Answered &&
                        result.Status >= MinServerErrorStatus &&
                        Refused.matchError(Loop.now());
+  if (Observer && result.Result == Outcome::NotRun) {
+    Observer(it->second.Message.Customer, it->second.StartedAt, -1);
+  }
   count(it->second, result, latency);
   recordInterruption(it->second, result);
   const bool answered = result.Result == Outcome::Answered;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -6,6 +6,8 @@
 #include "chivefold/sidecar/order_feed.h"
 #include "chivefold/sidecar/proxy_service.h"
 #include "chivefold/sidecar/rollout_service.h"
+#include "chivefold/sidecar/usage_service.h"
+#include "sidecar_metrics.h"
 
 #include <algorithm>
 #include <random>
@@ -15,6 +17,8 @@
 namespace {
 
 constexpr std::size_t InitialConnections = 16;
+/** One report of usage at a time, and one that is being given up. */
+constexpr std::size_t ReportConnections = 2;
 /** Time after a stop during which clients may still send requests: the platform
  * removes a host after two failed readiness checks, one per second. */
 constexpr Duration DeregistrationDelay = std::chrono::milliseconds(2600);
@@ -27,86 +31,6 @@
 /** Interval between log lines about traffic to other daemons. */
 constexpr Duration TrafficInterval = std::chrono::seconds(10);
 
-/** Entries that were ignored, by source. */
-struct IgnoredCounts {
-  std::uint64_t MalformedReports = 0;
-  std::uint64_t OutdatedReports = 0;
-  std::uint64_t Orders = 0;
-  std::uint64_t Hosts = 0;
-};
-
-// Peer traffic in the Prometheus text format.
-std::string trafficMetrics(const PeerNetwork &network) {
-  std::string out;
-  for (const auto &it : network.traffic()) {
-    const auto label = "{kind=\"" + std::string(it.Kind) + "\"} ";
-    out.append("chivefold_peer_frames_sent").append(label);
-    out.append(std::to_string(it.Frames)).append("\n");
-    out.append("chivefold_peer_bytes_sent").append(label);
-    out.append(std::to_string(it.Bytes)).append("\n");
-  }
-  return out;
-}
-
-// Request limit of the backend server in the Prometheus text format.
-std::string limitMetrics(const LimitFigures &figures) {
-  std::string out;
-  const auto add = [&out](std::string_view name, const std::string &value) {
-    out.append(name).append(" ").append(value).append("\n");
-  };
-  if (figures.Limit) {
-    add("chivefold_server_limit_per_second", std::to_string(*figures.Limit));
-  }
-  add("chivefold_server_sent_per_second",
-      std::to_string(figures.SentPerSecond));
-  add("chivefold_limit_held_total", std::to_string(figures.Effects.Held));
-  add("chivefold_limit_rejected_total",
-      std::to_string(figures.Effects.Rejected));
-  add("chivefold_server_limit_malformed_total",
-      std::to_string(figures.Malformed));
-  return out;
-}
-
-// Entries of other writers that were ignored in the Prometheus text format.
-std::string ignoredMetrics(const IgnoredCounts &counts) {
-  std::string out;
-  const auto add = [&out](std::string_view source, std::uint64_t value) {
-    out.append("chivefold_ignored_entries_total{source=\"")
-        .append(source)
-        .append("\"} ")
-        .append(std::to_string(value))
-        .append("\n");
-  };
-  add("malformed_report", counts.MalformedReports);
-  add("outdated_report", counts.OutdatedReports);
-  add("order", counts.Orders);
-  add("host", counts.Hosts);
-  return out;
-}
-
-// Calls that were refused after their admission in the Prometheus text format.
-std::string revokedMetrics(const BackendService &backend) {
-  return "chivefold_calls_revoked_total " +
-         std::to_string(backend.revokedCalls()) + "\n";
-}
-
-// Eras of the store in the Prometheus text format.
-std::string eraMetrics(const StoreEra &era, const OperatorState &orders) {
-  const auto &counts = era.counters();
-  std::string out;
-  const auto add = [&out](std::string_view name, std::uint64_t value) {
-    out.append(name).append(" ").append(std::to_string(value)).append("\n");
-  };
-  add("chivefold_store_era", era.current());
-  add("chivefold_store_era_risen_total", counts.Risen);
-  add("chivefold_store_answers_of_earlier_era_total", counts.Stale);
-  add("chivefold_store_answers_without_era_total", counts.Missing);
-  add("chivefold_orders_era", orders.end().Era);
-  add("chivefold_orders_lost", orders.lostKeys().size());
-  add("chivefold_orders_written_again_total", orders.rewritten());
-  return out;
-}
-
 } // namespace
 
 struct Sidecar::Impl {
@@ -147,12 +71,14 @@
   Placement Servers;
   Metrics CallMetrics;
   HttpClient ServerHttp;
+  HttpClient ReportHttp;
   PeerNetwork Network;
   PoisonService Poison;
   BackendService Backend;
   FleetService Fleet;
   OrderFeed Feed;
   RolloutService Rollouts;
+  UsageService Usage;
   ProxyService Proxy;
   HttpServer CallerServer;
   HttpServer AdminServer;
@@ -174,6 +100,7 @@
       Readers(Hosts, Own.PeerListen, Own.DataCentre),
       Servers(Hosts, Orders, Versions, Own.PeerListen, Own.DataCentre, Seeds()),
       CallMetrics(MetricsSettings()), ServerHttp(Loop, InitialConnections),
+      ReportHttp(Loop, ReportConnections),
       Network(Loop, Own.PeerListen,
               [this](const Address & /*link*/, wire::FrameBodyUnion &body,
                      const PeerResponder &respond) { onFrame(body, respond); }),
@@ -208,6 +135,8 @@
                {Store, ports, Orders, Hosts, Servers, Backend, Versions},
                shortRolloutSettings(Own.Exposure), Own.PeerListen,
                [this] { onSharesChanged(); }),
+      Usage(Loop, Network, ReportHttp, {Store, ports.Usage, Hosts}, Own.Usage,
+            Own.PeerListen, BootId),
       Proxy(Loop, Network,
             {ports, Orders, Feed, Servers, Backend, Poison, CallMetrics},
             Own.PeerListen, Own.Service),
@@ -223,6 +152,9 @@
                       [this](const std::shared_ptr<HttpExchange> &exchange) {
                         exchange->respond({isReady() ? 200 : 503, {}, ""});
                       }) {
+  Backend.onRun([this](const std::string &customer, TimePoint at, int change) {
+    Usage.count(customer, at, change);
+  });
   Network.onCancel([this](std::uint64_t token) { onCancel(token); });
 }
 
@@ -283,6 +215,8 @@
     return Rollouts.onRollouts(*body.AsRollouts());
   case wire::FrameBody::PoisonDeath:
     return Poison.onDeath(*body.AsPoisonDeath());
+  case wire::FrameBody::UsagePush:
+    return Usage.onPush(*body.AsUsagePush(), respond);
   case wire::FrameBody::StatsRequest:
     return Rollouts.onStatsRequest(*body.AsStatsRequest(), respond);
   default:
@@ -337,7 +271,9 @@
              revokedMetrics(Backend) +
              ignoredMetrics({MalformedReports, OutdatedReports,
                              Feed.ignoredRecords(), Fleet.ignoredEntries()}) +
-             eraMetrics(Store.Era, Orders)});
+             eraMetrics(Store.Era, Orders) +
+             accessMetrics(Proxy.accessCounts()) +
+             usageMetrics(Usage.figures())});
   }
   if (request.Path == "/-/ready") {
     return exchange->respond({isReady() ? 200 : 503, {}, ""});
@@ -424,6 +360,7 @@
   Implementation->Fleet.start();
   Implementation->Feed.start();
   Implementation->Rollouts.start();
+  Implementation->Usage.start();
   Implementation->logTraffic();
   return Done{};
 }
@@ -449,6 +386,7 @@
       "stopping", {{"open_requests", Implementation->Proxy.openRequests()},
                    {"open_calls", Implementation->Backend.openCalls()}});
   Implementation->Rollouts.stop();
+  Implementation->Usage.stop();
   Implementation->Backend.startLeaving();
   Implementation->Fleet.announce();
   Implementation->Servers.refresh();
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -33,6 +33,37 @@
   add("--store", s.Store, "address of the platform's store");
 }
 
+/** Usage options before their units are converted. */
+struct UsageOptions {
+  double WindowSeconds = 5;
+  double LeaseMs = 3000;
+};
+
+void addUsageOptions(CLI::App &app, UsageSettings &s, UsageOptions &o) {
+  constexpr double maxWindowSeconds = 3600;
+  constexpr double minLeaseMs = 1000;
+  constexpr double maxLeaseMs = 60000;
+  bindEnvironmentVariable(
+      addAddressOption(app, "--usage-reports", s.Reports,
+                       "address that takes the reports of customers' usage; "
+                       "none are made without it"));
+  bindEnvironmentVariable(
+      app.add_option("--usage-host", s.Host,
+                     "name of this host in usage reports [--peer-listen]")
+          ->type_name("NAME"));
+  bindEnvironmentVariable(
+      app.add_option("--usage-window-seconds", o.WindowSeconds,
+                     "length of a window of usage reports, in seconds"))
+      ->check(CLI::Range(1.0, maxWindowSeconds))
+      ->capture_default_str();
+  bindEnvironmentVariable(
+      app.add_option("--usage-lease-ms", o.LeaseMs,
+                     "time within which the duty of usage reports must not "
+                     "return to an earlier holder, in milliseconds"))
+      ->check(CLI::Range(minLeaseMs, maxLeaseMs))
+      ->capture_default_str();
+}
+
 } // namespace
 
 ParsedSidecarSettings parseSidecarSettings(int argc, const char *const *argv) {
@@ -48,6 +79,8 @@
                      "settings file (environment: CHIVEFOLD_CONFIG)");
   app.allow_config_extras(true);
   addListeners(app, s);
+  UsageOptions usage;
+  addUsageOptions(app, s.Usage, usage);
   addName(app, "--data-centre", s.DataCentre, "data centre of this host");
   addName(app, "--service", s.Service, "service of the backend server");
   bindEnvironmentVariable(
@@ -74,6 +107,13 @@
   }
   s.GracePeriod = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(graceSeconds));
+  s.Usage.WindowLength = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(usage.WindowSeconds));
+  s.Usage.LeaseTime = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(usage.LeaseMs));
+  if (s.Usage.Host.empty()) {
+    s.Usage.Host = toString(s.PeerListen);
+  }
   s.File = config->as<std::string>();
   parsed.Value = s;
   return parsed;
--- a/tests/unit/customer_keys_test.cpp
+++ b/tests/unit/customer_keys_test.cpp
@@ -97,8 +97,8 @@
 // Guards against a look-up by the digest alone: the holder is the customer that
 // was given exactly this key.
 TEST_CASE("a key is found by whoever was given it", "[customer_keys]") {
-  rc::check([](const std::map<std::string, std::uint8_t> &holders,
-               const std::vector<std::string> &others) {
+  REQUIRE(rc::check([](const std::map<std::string, std::uint8_t> &holders,
+                       const std::vector<std::string> &others) {
     std::vector<MeshCustomer> customers(256);
     for (std::size_t i = 0; i < customers.size(); ++i) {
       customers[i].Name = std::to_string(i);
@@ -117,16 +117,16 @@
     for (const auto &it : others) {
       RC_ASSERT((keys.find(it) != nullptr) == (holders.count(it) > 0));
     }
-  });
+  }));
 }
 
 // Guards against a comparison that depends on how the texts are split.
 TEST_CASE("keys are equal if all their bytes are", "[customer_keys]") {
-  rc::check([](const std::string &a, const std::string &b) {
+  REQUIRE(rc::check([](const std::string &a, const std::string &b) {
     RC_ASSERT(equalKeys(a, b) == (a == b));
     RC_ASSERT(equalKeys(a, a));
     RC_ASSERT(!equalKeys(a, a + "x"));
-  });
+  }));
 }
 
 // Guards against requests that are let in without a valid key, and against
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -49,15 +49,15 @@
 // instance ID that a client has set itself.
 TEST_CASE("the system sets its own headers", "[platform]") {
   const platform::RequestHeaders headers;
-  const auto sent =
-      headers.forServer({{"Host", "h"},
-                         {"Chivefold-Request-Id", "q"},
-                         {"chivefold-caller-service", "forged"},
-                         {"Chivefold-Deadline-Ms", "99999"},
-                         {"Connection", "X-Hop, close"},
-                         {"X-Hop", "1"},
-                         {"X-Other", "2"}},
-                        {std::chrono::milliseconds(250), "i-1", "s"});
+  const auto sent = headers.forServer(
+      {{"Host", "h"},
+       {"Chivefold-Request-Id", "q"},
+       {"chivefold-caller-service", "forged"},
+       {"Chivefold-Deadline-Ms", "99999"},
+       {"Connection", "X-Hop, close"},
+       {"X-Hop", "1"},
+       {"X-Other", "2"}},
+      {std::chrono::milliseconds(250), "i-1", "s", false, ""});
   CHECK(headerValue(sent, "Chivefold-Caller-Service") == "s");
   CHECK(headerValue(sent, "Chivefold-Deadline-Ms") == "250");
   CHECK(headerValue(sent, "Chivefold-Expected-Instance") == "i-1");
--- a/tests/unit/sidecar_lab.h
+++ b/tests/unit/sidecar_lab.h
@@ -135,7 +135,8 @@
 public:
   LabHost(Reactor &reactor, HttpClient &client, const PlatformPorts &ports,
           const StoreAccess &store, const std::string &service,
-          const std::string &dataCentre, std::uint64_t number)
+          const std::string &dataCentre, std::uint64_t number,
+          const UsageSettings &usage, const Address &peer)
       : Instance("i-" + std::to_string(number)), Service(service),
         Loop(reactor), Http(client),
         Server(reactor, {"127.0.0.1", 0},
@@ -146,10 +147,12 @@
     Settings.CallerListen = freeAddress();
     Settings.ReadinessListen = freeAddress();
     Settings.AdminListen = freeAddress();
-    Settings.PeerListen = freeAddress();
+    Settings.PeerListen = peer;
     Settings.BackendServer = Server.bound();
     Settings.DataCentre = dataCentre;
     Settings.Service = service;
+    Settings.Usage = usage;
+    Settings.Usage.Host = "host-" + std::to_string(number);
     Daemon = std::make_unique<Sidecar>(reactor, Settings, ports, store, number);
     REQUIRE(Daemon->start());
   }
@@ -250,20 +253,25 @@
   platform::ServerReports Reports;
   platform::OperatorRecords Records;
   platform::RolloutStatuses Statuses;
-  const PlatformPorts Ports{Requests, Reports, Records, Statuses};
+  platform::UsageReports Usages;
+  const PlatformPorts Ports{Requests, Reports, Records, Statuses, &Usages};
   Reactor Loop;
   MemoryStore Store{Loop};
   StoreEra Era;
   const StoreAccess Access{Store, Era};
   HttpClient Http{Loop, 64};
+  /** Of the hosts that are added. */
+  UsageSettings Usage;
   std::vector<std::unique_ptr<LabHost>> Hosts;
   std::vector<std::shared_ptr<LabCall>> Calls;
 
   SidecarLab() { Era.observe(MemoryStore::Era); }
 
-  LabHost &addHost(const std::string &service, const std::string &dataCentre) {
-    Hosts.push_back(std::make_unique<LabHost>(
-        Loop, Http, Ports, Access, service, dataCentre, Hosts.size() + 1));
+  LabHost &addHost(const std::string &service, const std::string &dataCentre,
+                   const Address &peer = freeAddress()) {
+    Hosts.push_back(std::make_unique<LabHost>(Loop, Http, Ports, Access,
+                                              service, dataCentre,
+                                              Hosts.size() + 1, Usage, peer));
     return *Hosts.back();
   }
 
