Wait for the other hosts before taking the duty of usage reports

It now waits 2 s, as the driver of a rollout does. The effect on the calls was not measured before this commit.

--- a/include/chivefold/sidecar/usage_service.h
+++ b/include/chivefold/sidecar/usage_service.h
@@ -72,6 +72,9 @@
   /** Counts that may have been taken by a host that does not answer are passed
    * to another one after this time. */
   static constexpr Duration MaxUnsureTime = std::chrono::seconds(2);
+  /** Time after the start in which this host learns of the others, before it
+   * may consider itself the root. */
+  static constexpr Duration PeerExchangeTime = std::chrono::milliseconds(2000);
   static constexpr Duration MaxRetryDelay = std::chrono::seconds(2);
   /** Number of keys in the store's stream, for windows in turn. */
   static constexpr WindowNumber StoredWindows = UsageLedger::MaxPending;
@@ -164,6 +167,7 @@
   std::optional<ClosedWindow> Closing;
   bool Storing = false;
   bool Reporting = false;
+  TimePoint StartedAt{};
   TimePoint NextStoreCall{};
   TimePoint NextReport{};
   std::uint32_t StoreFailures = 0;
--- a/src/sidecar/usage_duty.cpp
+++ b/src/sidecar/usage_duty.cpp
@@ -23,7 +23,7 @@
   const auto now = Loop.now();
   Lease.recordEra(Parts.Access.Era.current(), now);
   report();
-  if (Storing || now < NextStoreCall) {
+  if (Storing || now < NextStoreCall || now < StartedAt + PeerExchangeTime) {
     return;
   }
   const bool held = Lease.isHeld(now) && Lease.end();
--- a/src/sidecar/usage_service.cpp
+++ b/src/sidecar/usage_service.cpp
@@ -41,7 +41,8 @@
   if (!isOn()) {
     return;
   }
-  NextOwn = windowAt(utcAt(Loop.now()), Settings.WindowLength);
+  StartedAt = Loop.now();
+  NextOwn = windowAt(utcAt(StartedAt), Settings.WindowLength);
   tick();
 }
 
