--- a/include/chivefold/mesh/slot_gate.h
+++ b/include/chivefold/mesh/slot_gate.h
@@ -7,8 +7,8 @@
 
 #include "chivefold/core/gate.h"
 #include "chivefold/core/types.h"
-#include "chivefold/mesh/outstanding_work.h"
 #include "chivefold/mesh/class_pace.h"
+#include "chivefold/mesh/outstanding_work.h"
 #include "chivefold/mesh/request_pacer.h"
 
 #include <cstdint>
--- a/include/chivefold/sidecar/sidecar_settings.h
+++ b/include/chivefold/sidecar/sidecar_settings.h
@@ -10,6 +10,7 @@
 #include "chivefold/mesh/exposure_budget.h"
 #include "chivefold/mesh/placement.h"
 #include "chivefold/mesh/retry_budget.h"
+#include "chivefold/sidecar/usage_settings.h"
 
 #include <optional>
 #include <string>
@@ -40,6 +41,8 @@
   PlacementStrategy Strategy = PlacementStrategy::Learned;
   /** What connections from outside may take of this host. */
   EdgeLimits Edge;
+  /** Reports of the customers' usage; off without an address. */
+  UsageSettings Usage;
   /** Maximum duration of a planned stop. */
   Duration GracePeriod = std::chrono::seconds(6);
   /** Path of the settings file; "" if there is none. */
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -243,6 +243,9 @@
   SentAt = now;
   Parents.started(id, {call.Message.Route, call.Message.rank(),
                        call.Message.Deadline, call.Message.InTimeUntil, now});
+  if (Observer) {
+    Observer(call.Message.Customer, now, 1);
+  }
   HttpCall http;
   http.Method = call.Message.Method;
   http.Url = "http://" + toString(Upstream) + call.Message.Target;
@@ -328,6 +331,9 @@
   }
   auto result = resultOf(it->second, outcome);
   result.CallRefused = isCausedByRefusal(it->second.Message.Route, result);
+  if (Observer && result.Result == Outcome::NotRun) {
+    Observer(it->second.Message.Customer, it->second.StartedAt, -1);
+  }
   count(it->second, result, latency);
   recordInterruption(it->second, result);
   const bool answered = result.Result == Outcome::Answered;
