--- a/include/chivefold/mesh/placement.h
+++ b/include/chivefold/mesh/placement.h
@@ -138,7 +138,7 @@
   static constexpr std::uint32_t LowestWorth = 1;
   /** Number of distinguished priorities; the last level holds all lower ones.
    */
-  static constexpr std::size_t PriorityLevels = 4;
+  static constexpr std::size_t PriorityLevels = 16;
 
   /** @param seed of the random tie-breaking. The references must outlive this
    * object. */
--- a/include/chivefold/sidecar/order_feed.h
+++ b/include/chivefold/sidecar/order_feed.h
@@ -107,6 +107,10 @@
    * not know. */
   bool mayBeStale() const { return unconfirmedFor() > MaxUnconfirmed; }
 
+  /** @return whether another host has records that this one is still fetching.
+   */
+  bool isBehindPeer() const { return Fetching || !Sources.empty(); }
+
   /** @return how often records of the operator were ignored because they cannot
    * be read or are older. */
   std::uint64_t ignoredRecords() const { return IgnoredRecords; }
--- a/src/mesh/placement_loads.cpp
+++ b/src/mesh/placement_loads.cpp
@@ -91,11 +91,11 @@
   auto &load = endRequest(peer);
   updateGateState(load, gate, now);
   updateErrorRate(load, Settings.ErrorWeight, serverError, now);
+  updateExcessWork(peer, gate, route, now);
   if (serverError) {
     return;
   }
   Pace.record(peer, route, gate.ServiceTime, gate.TypicalServiceTime, now);
-  updateExcessWork(peer, gate, route, now);
   if (Routes.size() >= MaxRoutes && Routes.count(route) == 0) {
     return;
   }
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -325,7 +325,11 @@
   const bool refusedConnection =
       !outcome.Response && !outcome.MayHaveRun &&
       outcome.Response.reason().Code == ErrorCode::ConnectionFailed;
-  const bool silent = !outcome.Response && outcome.MayHaveRun;
+  // An answer with an invalid status has no known outcome, but its server is
+  // alive.
+  const bool silent =
+      !outcome.Response && outcome.MayHaveRun &&
+      outcome.Response.reason().Code != ErrorCode::OutcomeUnknown;
   if (outcome.Response) {
     applyStatement(it->second, *outcome.Response);
   }
--- a/src/sidecar/customer_access.cpp
+++ b/src/sidecar/customer_access.cpp
@@ -27,7 +27,7 @@
     return out;
   }
   // A later configuration may hold the key, or make the route public.
-  out.RefusalStatus = Feed.mayBeStale() ? 503 : 401;
+  out.RefusalStatus = Feed.mayBeStale() || Feed.isBehindPeer() ? 503 : 401;
   countRefusal(verdict, out.RefusalStatus);
   Lines.info("refused a request because of its key",
              {{"request", request},
--- a/src/sidecar/proxy_routing.cpp
+++ b/src/sidecar/proxy_routing.cpp
@@ -117,7 +117,8 @@
 // other.
 void ProxyService::joinParent(CallMessage &call, const MeshRoute &route,
                               const ClientRequest &client, TimePoint now) {
-  if (!client.TimeLeft) {
+  // Calls carry no customer's key.
+  if (!client.TimeLeft || client.Key) {
     return;
   }
   const auto parent =
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -326,7 +326,9 @@
   sample.Latency = held;
   Parts.CallMetrics.record(now, sample);
   if (outcome != Outcome::Answered) {
-    Parts.Backend.refusedCalls().recordRefusal(request->Route->Name, now);
+    if (!request->Key) {
+      Parts.Backend.refusedCalls().recordRefusal(request->Route->Name, now);
+    }
     Lines.info("request failed",
                {{"request", request->Call.RequestId},
                 {"route", request->Route->Name},
--- a/tests/unit/invalid_status_test.cpp
+++ b/tests/unit/invalid_status_test.cpp
@@ -141,6 +141,26 @@
   }
 }
 
+// Guards against a server that is taken out for all routes because of a request
+// that it always answers with an invalid status.
+TEST_CASE("invalid statuses take no server out", "[invalid_status]") {
+  constexpr int requests = 5;
+  InvalidStatus f;
+  std::thread server([&] {
+    for (int i = 0; i <= requests; ++i) {
+      const auto s = f.Listener.accepted();
+      s.readUntil("work");
+      s.write(answerText(i < requests ? "000" : "200", Framings.front()));
+    }
+  });
+  for (int i = 0; i < requests; ++i) {
+    CHECK(f.finish(false).Result == Outcome::Unknown);
+  }
+  CHECK(f.Backend.gate().Limit > 0);
+  CHECK(f.finish(false).Result == Outcome::Answered);
+  server.join();
+}
+
 // Guards against a limit that is too narrow: all other statuses are the
 // server's to choose, and a 1xx precedes the answer.
 TEST_CASE("statuses from 200 to 599 are answers", "[invalid_status]") {
