--- a/src/mesh/retry_budget.cpp
+++ b/src/mesh/retry_budget.cpp
@@ -16,7 +16,8 @@
     : Terms(terms), Tokens(now) {}
 
 std::int64_t RetryBudget::indexOf(TimePoint now) const {
-  return now.time_since_epoch() / (Terms->Window / Buckets);
+  const auto span = Terms->Window / static_cast<Duration::rep>(Buckets);
+  return now.time_since_epoch() / span;
 }
 
 RetryBudget::Bucket &RetryBudget::bucketAt(TimePoint now) {
--- a/src/sidecar/usage_duty.cpp
+++ b/src/sidecar/usage_duty.cpp
@@ -186,7 +186,8 @@
   Parts.Access.Store.append(
       KeyedStream::Usage, key, encodeUsageRecord(record), end.Offset,
       begun + StoreTimeout,
-      [this, term = record.Term, begun, end, written](const AppendResult &r) {
+      [this, term = record.Term, begun, end,
+       written = std::move(written)](const AppendResult &r) {
         Storing = false;
         if (r.Outcome == AppendOutcome::Written && r.Era == end.Era) {
           StoreFailures = 0;
--- a/tests/unit/byte_budget_test.cpp
+++ b/tests/unit/byte_budget_test.cpp
@@ -124,7 +124,7 @@
     auto now = Start;
     const auto steps = *rc::gen::container<std::vector<std::uint32_t>>(
         rc::gen::inRange(0U, 40U * 20U));
-    for (const auto it : steps) {
+    for (const std::size_t it : steps) {
       now += std::chrono::milliseconds(it % 7 * 100);
       clients[it % 20]->receive((it / 20) * 16384, now);
       budget->enforce(now);
