Write metric lines in one place, and ask for the gate's state only where it counts

The text of a Prometheus sample was built in five places of the sidecar. Whether the server may be running a call was computed, with the state of its gate, for every request of a deployment with customers; only a request without a key on a route that needs one asks for it. Behaviour is unchanged: judgeKey() does not look at it otherwise.

--- a/src/sidecar/customer_access.cpp
+++ b/src/sidecar/customer_access.cpp
@@ -21,7 +21,8 @@
   facts.HasKey = key.has_value();
   facts.IsKnown = out.Customer != nullptr;
   facts.IsPublic = route.Public;
-  facts.MayBeServersCall = Backend.mayBeRunning();
+  // Asks for the gate's state, which only a request without a key needs.
+  facts.MayBeServersCall = !key && !route.Public && Backend.mayBeRunning();
   const auto verdict = judgeKey(facts);
   if (verdict == KeyVerdict::Allowed) {
     return out;
--- a/src/sidecar/edge_metrics.cpp
+++ b/src/sidecar/edge_metrics.cpp
@@ -1,5 +1,7 @@
 #include "chivefold/sidecar/edge_metrics.h"
 
+#include "metric_text.h"
+
 namespace chivefold {
 
 std::string edgeMetrics(
@@ -8,7 +10,7 @@
         servers) {
   std::string out;
   const auto add = [&out](std::string_view name, std::uint64_t value) {
-    out.append(name).append(" ").append(std::to_string(value)).append("\n");
+    addSample(out, name, value);
   };
   add("chivefold_edge_budget_bytes", budget.limit());
   add("chivefold_edge_held_bytes", budget.held());
--- a/src/sidecar/sidecar_metrics.cpp
+++ b/src/sidecar/sidecar_metrics.cpp
@@ -1,5 +1,7 @@
 #include "sidecar_metrics.h"
 
+#include "metric_text.h"
+
 namespace chivefold {
 
 // Peer traffic in the Prometheus text format.
@@ -42,11 +44,8 @@
 std::string ignoredMetrics(const IgnoredCounts &counts) {
   std::string out;
   const auto add = [&out](std::string_view source, std::uint64_t value) {
-    out.append("chivefold_ignored_entries_total{source=\"")
-        .append(source)
-        .append("\"} ")
-        .append(std::to_string(value))
-        .append("\n");
+    addLabelled(out, "chivefold_ignored_entries_total", "source", source,
+                value);
   };
   add("malformed_report", counts.MalformedReports);
   add("outdated_report", counts.OutdatedReports);
@@ -66,7 +65,7 @@
   const auto &counts = era.counters();
   std::string out;
   const auto add = [&out](std::string_view name, std::uint64_t value) {
-    out.append(name).append(" ").append(std::to_string(value)).append("\n");
+    addSample(out, name, value);
   };
   add("chivefold_store_era", era.current());
   add("chivefold_store_era_risen_total", counts.Risen);
@@ -82,11 +81,7 @@
 std::string accessMetrics(const AccessCounts &counts) {
   std::string out;
   const auto add = [&out](std::string_view reason, std::uint64_t value) {
-    out.append("chivefold_key_refusals_total{reason=\"")
-        .append(reason)
-        .append("\"} ")
-        .append(std::to_string(value))
-        .append("\n");
+    addLabelled(out, "chivefold_key_refusals_total", "reason", reason, value);
   };
   add("unknown", counts.UnknownKey);
   add("missing", counts.MissingKey);
@@ -98,11 +93,8 @@
 std::string usageMetrics(const UsageFigures &figures) {
   std::string out;
   const auto add = [&out](std::string_view name, std::uint64_t value) {
-    out.append("chivefold_usage_")
-        .append(name)
-        .append(" ")
-        .append(std::to_string(value))
-        .append("\n");
+    out.append("chivefold_usage_");
+    addSample(out, name, value);
   };
   add("holder", figures.Holding ? 1 : 0);
   add("fence", figures.Fence);
