--- a/review/lab-2/lab.cpp
+++ b/review/lab-2/lab.cpp
@@ -627,8 +627,8 @@
       << "\"\ndata-centre=\"" << Zone << "\"\nservice=\"" << Service
       << "\"\ngrace-seconds=" << Bounds::GraceS
       << "\nexposure-share=0.1\nexposure-slack=50\nretry-budget-ratio=0.2\n"
-      << "retry-budget-slack=60\nretry-window-seconds=10\nmemory-limit-mb=260\n"
-      << "descriptor-limit=4100\n";
+      << "retry-budget-slack=60\nretry-window-seconds=10\nmemory-limit-mb="
+      << MemoryMb << "\ndescriptor-limit=4100\n";
   out.close();
   const auto log = Folder + "/" + Name + ".log";
   const auto variable = "CHIVEFOLD_CONFIG=" + settings;
@@ -705,6 +705,7 @@
     it->Ip = machineIp(10 + i);
     it->Folder = Folder;
     it->Store = Platform.address();
+    it->MemoryMb = MemoryMb;
     const auto at = [&](int port) {
       return it->Ip + ":" + std::to_string(port);
     };
--- a/review/lab-2/lab.h
+++ b/review/lab-2/lab.h
@@ -183,6 +183,7 @@
   std::string Callers, Readiness, Admin, Peers, Upstream, Store;
   pid_t Pid = -1;
   long StartedAtMs = 0;
+  int MemoryMb = 260;
   /** The platform's clients on this machine may send requests. */
   std::atomic<bool> IsReady{false};
 
@@ -218,6 +219,8 @@
   void arrived(Arrival arrival);
 
   Store Platform;
+  /** Memory of a machine; to be set before start(). */
+  int MemoryMb = 260;
   std::vector<std::unique_ptr<Sidecar>> Sidecars;
   std::vector<std::unique_ptr<Server>> Servers;
   /** Requests that clients sent: time and machine by id. */
