--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,8 +1,9 @@
-// Two of the three servers of a service leave as planned. A request that
-// crashes each server that begins to run it then comes again every four
-// seconds.
-#include "lab.h"
+// A request that crashes each server that begins to run it comes again every
+// four seconds, while all daemons are killed at the same moment, four times.
+#include "../lab-2/lab.h"
 
+#include <algorithm>
+#include <csignal>
 #include <vector>
 
 using namespace lab;
@@ -11,20 +12,40 @@
 
 constexpr long RetryMs = 4000;
 constexpr long BackAfterMs = 3000;
-constexpr int Retries = 14;
-constexpr const char *Path = "/payout/poison";
+constexpr long RestartMs = 500;
+constexpr const char *Path = "/booking/poison";
 
-// A server says that it leaves, serves on and ends.
-void scaleIn(Server &server) {
-  server.setState("draining");
-  record("the server on " + server.Machine +
-         " says that it is draining: acknowledged with " +
-         std::to_string(server.beat()));
-  sleepFor(Bounds::DrainMs + 500);
-  server.stopBeats();
-  server.leave();
-  server.crash();
-  record("the server on " + server.Machine + " ends");
+// All daemons are killed at the same moment and started again. @return when.
+long killAll(Fleet &fleet) {
+  record("SIGKILL to all daemons");
+  for (auto &it : fleet.Sidecars) {
+    it->signal(SIGKILL);
+  }
+  for (auto &it : fleet.Sidecars) {
+    it->reap();
+  }
+  sleepFor(RestartMs);
+  for (auto &it : fleet.Sidecars) {
+    it->spawn();
+  }
+  return now();
+}
+
+// @return the retries that count for the rule, of those that reached a server.
+int countRetries(Fleet &fleet, const std::vector<Arrival> &crashes,
+                 const std::vector<long> &starts) {
+  const auto sent = fleet.sent();
+  int counted = 0;
+  for (std::size_t i = 3; i < crashes.size(); ++i) {
+    const auto sentAt = sent.at(crashes[i].Id).first;
+    const bool isInTouch =
+        std::none_of(starts.begin(), starts.end(), [&](long it) {
+          return it <= sentAt + 1000 && sentAt < it + Bounds::ContactMs;
+        });
+    const bool isLater = sentAt > crashes[2].AtMs + Bounds::ContactMs;
+    counted += isInTouch && isLater ? 1 : 0;
+  }
+  return counted;
 }
 
 } // namespace
@@ -46,39 +67,46 @@
     };
   }
   fleet.startTraffic(200);
-  sleepFor(2000);
+  const auto begin = now();
+  const auto end = begin + 66000;
+  std::vector<long> starts{0};
+  std::thread client([&] {
+    unsigned n = 0;
+    for (long at = begin + 2000; at < end; at += RetryMs) {
+      sleepUntil(at);
+      // At any machine of client-desk that takes clients.
+      for (unsigned i = 0; i < 8; ++i) {
+        auto &sidecar = *fleet.Sidecars[n++ % 8];
+        if (sidecar.IsReady) {
+          fleet.request(sidecar, "POST", "poison-" + std::to_string(at), Path,
+                        "poison");
+          break;
+        }
+      }
+    }
+  });
   if (wantsTrouble()) {
-    scaleIn(fleet.server("ledger-2"));
-    sleepFor(1500);
-    scaleIn(fleet.server("ledger-3"));
-  }
-  sleepFor(3500);
-  auto at = now();
-  for (int i = 0; i < Retries; ++i, at += RetryMs) {
-    sleepUntil(at);
-    fleet.request(*fleet.Sidecars[static_cast<std::size_t>(i) % 8], "PUT",
-                  "poison-" + std::to_string(i), Path, "poison");
+    for (const long at : {12000, 26000, 40000, 54000}) {
+      sleepUntil(begin + at);
+      starts.push_back(killAll(fleet));
+    }
   }
-  sleepFor(1000);
+  client.join();
   fleet.stopTraffic();
 
-  const auto sent = fleet.sent();
   std::vector<Arrival> crashes;
   for (const auto &it : fleet.arrivals()) {
     if (it.Ran && it.Id.rfind("poison-", 0) == 0) {
       crashes.push_back(it);
     }
   }
-  // No process of the system was disturbed, so all machines are in touch.
-  int counted = 0;
-  for (std::size_t i = 3; i < crashes.size(); ++i) {
-    counted +=
-        sent.at(crashes[i].Id).first > crashes[2].AtMs + Bounds::ContactMs ? 1
-                                                                           : 0;
-  }
+  const int counted = countRetries(fleet, crashes, starts);
   record("BUDGET: the request reached servers " +
          std::to_string(crashes.size()) + " times; " + std::to_string(counted) +
-         " of these retries were sent later than contactMs after the third "
-         "crash; allowed: 3");
-  finish(fleet, crashes.empty() ? 2 : counted > 3 ? 1 : 0);
+         " of these retries were sent by machines in touch later than "
+         "contactMs after the third crash; allowed: 3");
+  if (crashes.empty()) {
+    finish(fleet, 2);
+  }
+  finish(fleet, counted > 3 ? 1 : 0);
 }
--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,6 +1,6 @@
 // A server tells its daemon that it is gone, shortly after that daemon was
 // stopped and started again as planned. One heartbeat of before arrives late.
-#include "lab.h"
+#include "../lab-2/lab.h"
 
 #include <algorithm>
 #include <csignal>
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,31 +1,30 @@
-// Clients send large bodies, within the limits of the configuration. A process
-// that exceeds the memory of its machine is killed and started again.
-#include "lab.h"
+// Two of the three servers of a service leave as planned. A request that
+// crashes each server that begins to run it then comes again every four
+// seconds.
+#include "../lab-2/lab.h"
 
-#include <csignal>
-#include <cstdlib>
-#include <fstream>
+#include <vector>
 
 using namespace lab;
 
 namespace {
 
-/** Memory of a machine of sahayatri-mesh. */
-constexpr int MemoryMb = 110;
-/** The configuration allows 67108864. */
-constexpr std::size_t LargeBytes = 38'000'000;
-constexpr std::size_t SmallBytes = 1200;
-constexpr long RestartMs = 500;
+constexpr long RetryMs = 4000;
+constexpr long BackAfterMs = 3000;
+constexpr int Retries = 14;
+constexpr const char *Path = "/payout/poison";
 
-/** @return the peak of the memory that a process has used, in kB. */
-long peakKb(pid_t pid) {
-  std::ifstream in("/proc/" + std::to_string(pid) + "/status");
-  for (std::string line; std::getline(in, line);) {
-    if (line.rfind("VmHWM:", 0) == 0) {
-      return std::strtol(line.c_str() + 6, nullptr, 10);
-    }
-  }
-  return 0;
+// A server says that it leaves, serves on and ends.
+void scaleIn(Server &server) {
+  server.setState("draining");
+  record("the server on " + server.Machine +
+         " says that it is draining: acknowledged with " +
+         std::to_string(server.beat()));
+  sleepFor(Bounds::DrainMs + 500);
+  server.stopBeats();
+  server.leave();
+  server.crash();
+  record("the server on " + server.Machine + " ends");
 }
 
 } // namespace
@@ -33,59 +32,53 @@
 int main(int argc, char **argv) {
   openRecord(argc > 1 ? argv[1] : ".");
   Fleet fleet;
-  fleet.MemoryMb = MemoryMb;
   fleet.start();
-  const std::vector<std::string> names{"desk-1", "desk-2"};
-  std::map<std::string, int> ends;
-  std::atomic<bool> isDone{false};
-  // The platform: kills what exceeds its memory, and starts it again.
-  std::thread platform([&] {
-    while (!isDone) {
-      for (const auto &name : names) {
-        auto &sidecar = fleet.sidecar(name);
-        const auto kb = peakKb(sidecar.Pid);
-        if (kb > MemoryMb * 1024L) {
-          record("machine " + name + ": the process has used " +
-                 std::to_string(kb) + " kB, more than " +
-                 std::to_string(MemoryMb) + " MB; it is killed");
-          sidecar.signal(SIGKILL);
-          sidecar.reap();
-          ++ends[name];
-          sleepFor(RestartMs);
-          sidecar.spawn();
-        }
-      }
-      sleepFor(5);
-    }
-  });
+  for (auto &it : fleet.Servers) {
+    it->IsPoison = [](const Message &request) {
+      return request.target() == Path;
+    };
+    it->OnPoison = [](Server &server) {
+      std::thread([&server] {
+        sleepFor(BackAfterMs);
+        server.start(3000);
+        record("the server on " + server.Machine + " is back");
+      }).detach();
+    };
+  }
   fleet.startTraffic(200);
   sleepFor(2000);
-  const std::string body(wantsTrouble() ? LargeBytes : SmallBytes, 'b');
-  for (int i = 0; i < 3; ++i) {
-    for (const auto &name : names) {
-      fleet.request(fleet.sidecar(name), "PUT",
-                    "large-" + name + "-" + std::to_string(i),
-                    "/payout/large-" + std::to_string(i), body);
-    }
-    sleepFor(5000);
+  if (wantsTrouble()) {
+    scaleIn(fleet.server("ledger-2"));
+    sleepFor(1500);
+    scaleIn(fleet.server("ledger-3"));
+  }
+  sleepFor(3500);
+  auto at = now();
+  for (int i = 0; i < Retries; ++i, at += RetryMs) {
+    sleepUntil(at);
+    fleet.request(*fleet.Sidecars[static_cast<std::size_t>(i) % 8], "PUT",
+                  "poison-" + std::to_string(i), Path, "poison");
   }
-  isDone = true;
-  platform.join();
+  sleepFor(1000);
   fleet.stopTraffic();
 
-  const auto answered = fleet.answered();
-  int lost = 0;
+  const auto sent = fleet.sent();
+  std::vector<Arrival> crashes;
   for (const auto &it : fleet.arrivals()) {
-    lost += it.Ran && answered.count(it.Id) == 0 ? 1 : 0;
+    if (it.Ran && it.Id.rfind("poison-", 0) == 0) {
+      crashes.push_back(it);
+    }
   }
-  int machines = 0;
-  for (const auto &it : ends) {
-    machines += it.second >= 3 ? 1 : 0;
+  // No process of the system was disturbed, so all machines are in touch.
+  int counted = 0;
+  for (std::size_t i = 3; i < crashes.size(); ++i) {
+    counted +=
+        sent.at(crashes[i].Id).first > crashes[2].AtMs + Bounds::ContactMs ? 1
+                                                                           : 0;
   }
-  record("Fault: processes ended for their memory three times on " +
-         std::to_string(machines) +
-         " of 11 machines; allowed: fewer than 2. Requests that servers ran "
-         "and whose clients got no answer of the server: " +
-         std::to_string(lost));
-  finish(fleet, machines >= 2 ? 1 : 0);
+  record("BUDGET: the request reached servers " +
+         std::to_string(crashes.size()) + " times; " + std::to_string(counted) +
+         " of these retries were sent later than contactMs after the third "
+         "crash; allowed: 3");
+  finish(fleet, crashes.empty() ? 2 : counted > 3 ? 1 : 0);
 }
--- a/review/lab-2/lab.cpp
+++ b/review/lab-2/lab.cpp
@@ -241,8 +241,8 @@
   // Each test has a range of its own, so that tests can run side by side.
   static const std::string range = [] {
     for (int i = getpid();; ++i) {
-      const auto out = "127." + std::to_string(1 + i / 250 % 250) + "." +
-                       std::to_string(1 + i % 250) + ".";
+      auto out = "127." + std::to_string(1 + i / 250 % 250) + "." +
+                 std::to_string(1 + i % 250) + ".";
       const int fd = listenOn(out + "1:" + std::to_string(Ports::Store));
       if (fd >= 0) {
         close(fd);
@@ -291,7 +291,7 @@
   if (fd < 0) {
     return 0;
   }
-  const timeval limit{timeoutMs / 1000, timeoutMs % 1000 * 1000};
+  const timeval limit{timeoutMs / 1000, timeoutMs % 1000 * 1000L};
   setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
   sendAll(fd, request);
   const bool isWhole = Reader(fd).read(answer);
