Keep the crashes of servers beyond the daemons that saw them

Cause: the quarantine was kept in the store and the crashes that it follows from were not, so that each was the first; and a crash was not noticed before the next call was refused. Ruled out: the quarantine itself, which keeps.

Change: a host's record in the store has the crashes that its daemon saw and all of the requests that crashed its server. It is written at once, again while the process lives, and again when the store has come back from an older copy. A connection that breaks makes the daemon connect once. Digests with one crash are dropped before those with several, and sent after them. QuarantineStore and its 64 records are gone, since quarantines follow from the crashes.

A stand-in of "lost answers do not take a server out" took each connection for one with a request; it now skips those that carry no byte. The checks of that case are the same.

--- a/include/chivefold/core/poison_table.h
+++ b/include/chivefold/core/poison_table.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <list>
 #include <optional>
 #include <random>
@@ -24,6 +25,15 @@
  * it. */
 enum class CrashId : std::uint64_t { None = 0 };
 
+/** How a crash is known, the strongest evidence first. */
+enum class CrashEvidence : std::uint8_t {
+  /** The daemon beside the server saw it. */
+  Direct,
+  /** A caller concluded it: its call was lost with that daemon, and the server
+   * has started again since. */
+  Inferred
+};
+
 /**
  * Reports that a request was in flight when a server crashed, or that the crash
  * was cleared. Sent between daemons without a log record, since it can only
@@ -40,16 +50,20 @@
   CrashId Id = CrashId::None;
   /** Number of times that the update may still be forwarded. */
   std::uint8_t Hops = 0;
+  CrashEvidence Evidence = CrashEvidence::Direct;
 };
 
 /**
  * Records digests of requests that were in flight when servers crashed. A
  * digest is quarantined after crashes of two different servers, or after three
  * crashes, within QuarantineTime, unless the request was answered in between:
- * a service may have one server only. Each crash has an id, and an answer names
+ * a service may have one server only. Inferred crashes count for the latter
+ * alone, since a host that loses power takes ordinary requests along. Each
+ * crash has an id, and an answer names
  * the ids of the crashes that it clears. Each table processes a crash and its
  * clearing once, in any order of arrival, so that all tables converge. Holds at
- * most MaxDigests digests; on overflow the oldest is evicted. Not thread-safe.
+ * most MaxDigests digests; on overflow the oldest with one crash is evicted, or
+ * else the oldest. Not thread-safe.
  */
 class PoisonTable {
 public:
@@ -78,11 +92,12 @@
   /** @param seed seed of the crash ids; must differ between daemons. */
   explicit PoisonTable(std::uint64_t seed);
 
-  /** Reports that a server crashed with these requests in flight. @return
-   * updates to send to other daemons. */
+  /** Reports that a server crashed at @p at with these requests in flight.
+   * @return updates to send to other daemons. */
   std::vector<PoisonUpdate>
   serverCrashed(const Address &server,
-                const std::vector<RequestDigest> &inFlight, TimePoint now);
+                const std::vector<RequestDigest> &inFlight, TimePoint at,
+                CrashEvidence evidence = CrashEvidence::Direct);
 
   /** Reports that a request was answered, which clears its crashes but does not
    * end a quarantine.
@@ -98,36 +113,46 @@
    * is new to this table and has hops left. */
   std::optional<PoisonUpdate> merge(const PoisonUpdate &update, TimePoint now);
 
+  /** Takes a crash that an earlier process has kept. @param isOwn whether that
+   * was a predecessor of this daemon, for which it goes on keeping the crash.
+   */
+  void restore(const PoisonUpdate &crash, bool isOwn, TimePoint now);
+
   /** @return time until the quarantine of the request ends, if it is
    * quarantined. */
   std::optional<Duration> quarantined(RequestDigest digest,
                                       TimePoint now) const;
 
-  /** Quarantines a request until @p until, whatever is known of its crashes. */
-  void restore(RequestDigest digest, TimePoint until);
-
-  /** @return whether a crash of @p server counts against the request. */
-  bool hasCrash(RequestDigest digest, const Address &server) const;
-
   /** @return the servers that the request has crashed. */
   std::vector<Address> crashedServers(RequestDigest digest) const;
 
-  /** @return updates for up to @p max crashes with their ages, newest digests
-   * first. They have no hops left, so that a receiver does not forward them. */
+  /** @return updates for up to @p max crashes with their ages: digests with
+   * several crashes first, then the newest. They have no hops left, so that a
+   * receiver does not forward them. */
   std::vector<PoisonUpdate> activeCrashes(std::size_t max, TimePoint now) const;
 
+  /** @return in the same order, up to @p max crashes that the daemon at @p own
+   * must keep for its successor: those that it observed, and all of the digests
+   * that crashed its server. */
+  std::vector<PoisonUpdate> crashesToKeep(const Address &own, std::size_t max,
+                                          TimePoint now) const;
+
   std::size_t size() const;
 
+  /** @return a number that rises with each crash that is added or removed. */
+  std::uint64_t revision() const { return Revision; }
+
 private:
   struct Crash {
     Address Server;
     TimePoint At{};
     CrashId Id = CrashId::None;
+    CrashEvidence Evidence = CrashEvidence::Direct;
+    /** Reported to this table first. */
+    bool IsObserved = false;
   };
   struct Entry {
     std::vector<Crash> Crashes;
-    /** End of a quarantine that an earlier process has seen. */
-    TimePoint RestoredUntil{};
     std::list<RequestDigest>::iterator OrderPosition;
   };
   /** Latest known state of one crash. */
@@ -135,14 +160,20 @@
 
   bool advanceStage(CrashId id, Stage stage);
   Entry &entryOf(RequestDigest digest);
-  static std::vector<Address> serversOf(const Entry &entry);
+  static std::vector<Address> serversOf(const Entry &entry,
+                                        CrashEvidence weakest);
   static bool isDangerous(const Entry &entry);
   bool recordCrash(RequestDigest digest, const Crash &crash, TimePoint now);
+  void makeRoom();
+  using IsWanted = std::function<bool(const Entry &, const Crash &)>;
+  std::vector<PoisonUpdate> select(std::size_t max, TimePoint now,
+                                   const IsWanted &isWanted) const;
   void erase(RequestDigest digest);
   void removeCrash(RequestDigest digest, CrashId id);
   void recordAnswer(RequestDigest digest, TimePoint answeredAt);
 
   std::mt19937_64 Random;
+  std::uint64_t Revision = 0;
   std::unordered_map<RequestDigest, Entry> Entries;
   /** Digests, oldest first. */
   std::list<RequestDigest> InsertionOrder;
--- a/include/chivefold/daemon/poison_service.h
+++ b/include/chivefold/daemon/poison_service.h
@@ -51,17 +51,27 @@
    * may be the same loopback address on every host. */
   void serverDied(const Address &server, RequestDigest digest);
 
-  /** Sets what runs when a request becomes refused that has crashed the server
-   * of the daemon at @p own. */
-  using QuarantineTask = std::function<void(RequestDigest, Duration left)>;
-  void onQuarantine(Address own, QuarantineTask task) {
-    Own = std::move(own);
-    Quarantined = std::move(task);
+  /** A call to the server beside the daemon at @p server was lost with that
+   * daemon at @p at, and the server has started again since. */
+  void serverPresumedDead(const Address &server, RequestDigest digest,
+                          TimePoint at);
+
+  /** Sets what runs after crashes became known or were cleared. @param isUrgent
+   * whether requests are suspected that were not before. */
+  using ChangeTask = std::function<void(bool isUrgent)>;
+  void onChange(ChangeTask task) { Changed = std::move(task); }
+
+  /** Takes crashes that an earlier process has kept. @param isOwn whether that
+   * was a predecessor of this daemon. */
+  void restore(const std::vector<PoisonUpdate> &crashes, bool isOwn);
+
+  /** @return the crashes that the daemon at @p own must keep for its successor.
+   */
+  std::vector<PoisonUpdate> crashesToKeep(const Address &own,
+                                          std::size_t max) const {
+    return Table.crashesToKeep(own, max, Loop.now());
   }
 
-  /** Refuses a request for @p left, as an earlier process did. */
-  void restore(RequestDigest digest, Duration left);
-
   /** A backend server answered the request. */
   void succeeded(RequestDigest digest);
 
@@ -86,16 +96,17 @@
   deathsToSend(std::size_t max) const;
 
 private:
+  void recordCrash(const Address &server, RequestDigest digest, TimePoint at,
+                   CrashEvidence evidence);
   void spread(const PoisonUpdate &step);
-  void reportQuarantine(RequestDigest digest, bool wasRefused);
+  void notify(bool isUrgent);
 
   Reactor &Loop;
   PeerNetwork &Network;
   Peers RandomPeers;
   PoisonTable Table;
   RateLimiter Spreads;
-  Address Own;
-  QuarantineTask Quarantined;
+  ChangeTask Changed;
   Logger Lines{"poison"};
 };
 
--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -8,6 +8,7 @@
 #include "chivefold/core/rate_limit.h"
 #include "chivefold/daemon/call_message.h"
 #include "chivefold/daemon/poison_service.h"
+#include "chivefold/io/connection_probe.h"
 #include "chivefold/io/http_client.h"
 #include "chivefold/io/logging.h"
 #include "chivefold/mesh/call_counts.h"
@@ -244,6 +245,7 @@
   void stopIfLeaving(const std::string &requestId);
   void stopIfLeft();
   void recordInterruption(const Call &call, const CallResult &result);
+  void probeServer();
   void reportCrash();
   void count(const Call &call, const CallResult &result, Duration latency);
   bool isConfigured(const ServerReport &report) const;
@@ -314,6 +316,7 @@
   /** Requests whose connections broke since the server last answered. */
   std::vector<RequestDigest> Interrupted;
   TimePoint InterruptedAt{};
+  ConnectionProbe Probe;
   CallCounts Counts;
   ServerStatements Statements;
   RateMeter Sent;
--- a/include/chivefold/sidecar/host_memory.h
+++ b/include/chivefold/sidecar/host_memory.h
@@ -5,6 +5,7 @@
 #ifndef CHIVEFOLD_SIDECAR_HOST_MEMORY_H
 #define CHIVEFOLD_SIDECAR_HOST_MEMORY_H
 
+#include "chivefold/daemon/poison_service.h"
 #include "chivefold/io/logging.h"
 #include "chivefold/io/reactor.h"
 #include "chivefold/mesh/departures.h"
@@ -22,15 +23,21 @@
  * all must outlive it. */
 struct HostMemoryDependencies {
   Departures &Departed;
+  PoisonService &Poison;
   FleetTable &Hosts;
 };
 
 /**
- * Keeps the announcements of servers that leave where they outlast this
- * process: in a record of the stream of hosts, one a host, and at peers while
- * the store is away. An announcement is acknowledged only when one of them has
- * it. A new daemon reads the records in the listing that it makes anyway, and
- * peers return what they know of its host with each hello message.
+ * Keeps what a daemon was told or has seen where it outlasts the process: in a
+ * record of the stream of hosts, one a host. It has the announcements of
+ * servers that leave, and the crashes of servers with the requests that were in
+ * flight, of which quarantines follow. A new daemon reads the records in the
+ * listing that it makes anyway.
+ *
+ * While the store is away, peers keep them: crashes spread among all daemons,
+ * and peers return what they know of a host's announcements with each hello
+ * message. An announcement is acknowledged only when the store or a peer has
+ * it.
  *
  * The record is written only after it was read, since a write replaces it, and
  * written again when the store has come back from an older copy. Used on the
@@ -55,6 +62,11 @@
   static constexpr std::size_t MaxKept = 8;
   /** Announcements in each hello message; peers collect them. */
   static constexpr std::size_t MaxAnnounced = 2;
+  /** Crashes in the record. A server has fewer slots; those that repeat go
+   * first. */
+  static constexpr std::size_t MaxCrashes = 128;
+  /** Delay of a write that only removes crashes, so that many are one. */
+  static constexpr Duration ClearDelay = std::chrono::seconds(1);
 
   /** Sends the announcements to some peers; the task runs when one of them has
    * them. */
@@ -98,7 +110,11 @@
   };
 
   void onAnnounced();
+  void onCrashesChanged(bool isUrgent);
   Content content() const;
+  std::int64_t utcMs() const;
+  void restoreCrashes(const Address &host,
+                      const std::vector<PoisonUpdate> &crashes);
   void save();
   void onSaved(std::uint64_t revision, std::uint64_t digest,
                const AppendResult &result);
@@ -109,6 +125,7 @@
   Reactor &Loop;
   const StoreAccess Store;
   Departures &Departed;
+  PoisonService &Poison;
   FleetTable &Hosts;
   const Address Own;
   PeerNotifier NotifyPeers;
@@ -123,6 +140,8 @@
   /** The predecessors' record was read, so that a write loses nothing. */
   bool Listed = false;
   bool Saving = false;
+  /** A write of cleared crashes is due. */
+  bool IsClearing = false;
   Duration RetryDelay = MinRetryDelay;
   TimerId Retry = TimerId::None;
   std::map<std::uint64_t, Waiter> Waiting;
--- a/include/chivefold/sidecar/ports.h
+++ b/include/chivefold/sidecar/ports.h
@@ -115,8 +115,9 @@
 enum class KeyedStream : std::uint8_t {
   /** Written by the operator; read-only for the sidecar. */
   Orders,
-  /** Data centres of the fleet's daemons, keyed by address, and quarantines
-   * (see QuarantineStore), which each daemon thus reads in the same call. */
+  /** Data centres of the fleet's daemons, keyed by address, and what their
+   * successors must know (see HostMemory), which each daemon thus reads in the
+   * same call. */
   Hosts,
   /** Progress of rollouts, keyed by service. */
   Rollouts,
--- a/src/core/poison_table.cpp
+++ b/src/core/poison_table.cpp
@@ -15,13 +15,14 @@
 std::vector<PoisonUpdate>
 PoisonTable::serverCrashed(const Address &server,
                            const std::vector<RequestDigest> &inFlight,
-                           TimePoint now) {
+                           TimePoint at, CrashEvidence evidence) {
   std::vector<PoisonUpdate> updates;
   for (const auto digest : inFlight) {
     const auto id = static_cast<CrashId>(Random());
-    if (recordCrash(digest, {server, now, id}, now)) {
+    if (recordCrash(digest, {server, at, id, evidence, true}, at)) {
       advanceStage(id, Stage::Crashed);
-      updates.push_back({digest, server, Duration::zero(), false, id, MaxHops});
+      updates.push_back(
+          {digest, server, Duration::zero(), false, id, MaxHops, evidence});
     }
   }
   return updates;
@@ -38,8 +39,10 @@
   if (update.Cleared) {
     recordAnswer(update.Digest, now - age);
     removeCrash(update.Digest, update.Id);
-  } else if (!recordCrash(update.Digest, {update.Server, now - age, update.Id},
-                          now)) {
+  } else if (!recordCrash(
+                 update.Digest,
+                 {update.Server, now - age, update.Id, update.Evidence, false},
+                 now)) {
     return std::nullopt;
   }
   if (update.Hops == 0) {
@@ -51,6 +54,18 @@
   return forwarded;
 }
 
+void PoisonTable::restore(const PoisonUpdate &crash, bool isOwn,
+                          TimePoint now) {
+  merge(crash, now);
+  const auto it = Entries.find(crash.Digest);
+  if (!isOwn || it == Entries.end()) {
+    return;
+  }
+  for (auto &known : it->second.Crashes) {
+    known.IsObserved = known.IsObserved || known.Id == crash.Id;
+  }
+}
+
 // @return whether the stage of the crash advanced; a cleared crash stays
 // cleared.
 bool PoisonTable::advanceStage(CrashId id, Stage stage) {
@@ -68,32 +83,30 @@
   return true;
 }
 
-// Evicts the oldest digest to make room for a new one.
+// Ordinary requests that were in flight at one crash must not displace those of
+// which more is known.
+void PoisonTable::makeRoom() {
+  const auto oldest =
+      std::find_if(InsertionOrder.begin(), InsertionOrder.end(),
+                   [this](RequestDigest digest) {
+                     return Entries.at(digest).Crashes.size() <= 1;
+                   });
+  erase(oldest == InsertionOrder.end() ? InsertionOrder.front() : *oldest);
+}
+
 PoisonTable::Entry &PoisonTable::entryOf(RequestDigest digest) {
   const auto it = Entries.find(digest);
   if (it != Entries.end()) {
     return it->second;
   }
   if (Entries.size() >= MaxDigests) {
-    erase(InsertionOrder.front());
+    makeRoom();
   }
   auto &entry = Entries[digest];
   entry.OrderPosition = InsertionOrder.insert(InsertionOrder.end(), digest);
   return entry;
 }
 
-void PoisonTable::restore(RequestDigest digest, TimePoint until) {
-  auto &entry = entryOf(digest);
-  entry.RestoredUntil = std::max(entry.RestoredUntil, until);
-}
-
-bool PoisonTable::hasCrash(RequestDigest digest, const Address &server) const {
-  const auto it = Entries.find(digest);
-  return it != Entries.end() &&
-         std::any_of(it->second.Crashes.begin(), it->second.Crashes.end(),
-                     [&](const Crash &d) { return d.Server == server; });
-}
-
 bool PoisonTable::recordCrash(RequestDigest digest, const Crash &crash,
                               TimePoint now) {
   auto &crashes = entryOf(digest).Crashes;
@@ -102,21 +115,27 @@
                                  return now - d.At >= QuarantineTime;
                                }),
                 crashes.end());
-  const bool isKnown =
-      std::any_of(crashes.begin(), crashes.end(), [&](const Crash &d) {
+  const auto known =
+      std::find_if(crashes.begin(), crashes.end(), [&](const Crash &d) {
         return d.Server == crash.Server &&
                std::chrono::abs(d.At - crash.At) < SameCrashWindow;
       });
-  if (isKnown || crashes.size() >= MaxCrashesPerDigest) {
+  if (known != crashes.end()) {
+    known->Evidence = std::min(known->Evidence, crash.Evidence);
+    return false;
+  }
+  if (crashes.size() >= MaxCrashesPerDigest) {
     return false;
   }
   crashes.push_back(crash);
+  ++Revision;
   return true;
 }
 
 void PoisonTable::erase(RequestDigest digest) {
   const auto it = Entries.find(digest);
   const auto position = it->second.OrderPosition;
+  ++Revision;
   Entries.erase(it);
   InsertionOrder.erase(position);
 }
@@ -150,7 +169,8 @@
   crashes.erase(std::remove_if(crashes.begin(), crashes.end(),
                                [id](const Crash &d) { return d.Id == id; }),
                 crashes.end());
-  if (crashes.empty() && it->second.RestoredUntil == TimePoint{}) {
+  ++Revision;
+  if (crashes.empty()) {
     erase(digest);
   }
 }
@@ -170,26 +190,51 @@
          now - answer.At < RecentAnswerWindow;
 }
 
-std::vector<PoisonUpdate> PoisonTable::activeCrashes(std::size_t max,
-                                                     TimePoint now) const {
+std::vector<PoisonUpdate> PoisonTable::select(std::size_t max, TimePoint now,
+                                              const IsWanted &isWanted) const {
   std::vector<PoisonUpdate> all;
-  for (auto it = InsertionOrder.rbegin(); it != InsertionOrder.rend(); ++it) {
-    for (const auto &crash : Entries.at(*it).Crashes) {
-      if (all.size() >= max) {
-        return all;
+  for (const bool isRepeated : {true, false}) {
+    for (auto it = InsertionOrder.rbegin(); it != InsertionOrder.rend(); ++it) {
+      const auto &entry = Entries.at(*it);
+      if ((entry.Crashes.size() > 1) != isRepeated) {
+        continue;
       }
-      if (now - crash.At < QuarantineTime) {
-        all.push_back({*it, crash.Server, now - crash.At, false, crash.Id, 0});
+      for (const auto &crash : entry.Crashes) {
+        if (all.size() >= max) {
+          return all;
+        }
+        if (now - crash.At < QuarantineTime && isWanted(entry, crash)) {
+          all.push_back({*it, crash.Server, now - crash.At, false, crash.Id, 0,
+                         crash.Evidence});
+        }
       }
     }
   }
   return all;
 }
 
-std::vector<Address> PoisonTable::serversOf(const Entry &entry) {
+std::vector<PoisonUpdate> PoisonTable::activeCrashes(std::size_t max,
+                                                     TimePoint now) const {
+  return select(max, now, [](const Entry &, const Crash &) { return true; });
+}
+
+std::vector<PoisonUpdate> PoisonTable::crashesToKeep(const Address &own,
+                                                     std::size_t max,
+                                                     TimePoint now) const {
+  return select(max, now, [&own](const Entry &entry, const Crash &crash) {
+    return crash.IsObserved ||
+           std::any_of(entry.Crashes.begin(), entry.Crashes.end(),
+                       [&own](const Crash &it) { return it.Server == own; });
+  });
+}
+
+// Returns the servers of the crashes whose evidence is @p weakest or stronger.
+std::vector<Address> PoisonTable::serversOf(const Entry &entry,
+                                            CrashEvidence weakest) {
   std::vector<Address> servers;
   for (const auto &it : entry.Crashes) {
-    if (std::find(servers.begin(), servers.end(), it.Server) == servers.end()) {
+    if (it.Evidence <= weakest &&
+        std::find(servers.begin(), servers.end(), it.Server) == servers.end()) {
       servers.push_back(it.Server);
     }
   }
@@ -198,13 +243,14 @@
 
 std::vector<Address> PoisonTable::crashedServers(RequestDigest digest) const {
   const auto it = Entries.find(digest);
-  return it == Entries.end() ? std::vector<Address>() : serversOf(it->second);
+  return it == Entries.end() ? std::vector<Address>()
+                             : serversOf(it->second, CrashEvidence::Inferred);
 }
 
 // Whether the crashes suffice for a quarantine.
 bool PoisonTable::isDangerous(const Entry &entry) {
   return entry.Crashes.size() >= CrashesToQuarantine ||
-         serversOf(entry).size() >= ServersToQuarantine;
+         serversOf(entry, CrashEvidence::Direct).size() >= ServersToQuarantine;
 }
 
 std::optional<Duration> PoisonTable::quarantined(RequestDigest digest,
@@ -213,7 +259,7 @@
   if (it == Entries.end()) {
     return std::nullopt;
   }
-  auto until = it->second.RestoredUntil;
+  TimePoint until{};
   if (isDangerous(it->second)) {
     for (const auto &crash : it->second.Crashes) {
       until = std::max(until, crash.At + QuarantineTime);
--- a/src/daemon/poison_service.cpp
+++ b/src/daemon/poison_service.cpp
@@ -17,36 +17,49 @@
       Table(seed), Spreads(SpreadsPerSecond, SpreadBurst, reactor.now()) {}
 
 void PoisonService::serverDied(const Address &server, RequestDigest digest) {
-  const auto now = Loop.now();
-  if (Table.wasRecentlyAnswered(digest, now)) {
+  recordCrash(server, digest, Loop.now(), CrashEvidence::Direct);
+}
+
+void PoisonService::serverPresumedDead(const Address &server,
+                                       RequestDigest digest, TimePoint at) {
+  recordCrash(server, digest, at, CrashEvidence::Inferred);
+}
+
+void PoisonService::recordCrash(const Address &server, RequestDigest digest,
+                                TimePoint at, CrashEvidence evidence) {
+  if (Table.wasRecentlyAnswered(digest, Loop.now())) {
     return;
   }
-  const bool wasRefused = quarantined(digest).has_value();
-  for (const auto &it : Table.serverCrashed(server, {digest}, now)) {
+  const auto updates = Table.serverCrashed(server, {digest}, at, evidence);
+  for (const auto &it : updates) {
     spread(it);
   }
-  reportQuarantine(digest, wasRefused);
+  if (!updates.empty()) {
+    notify(true);
+  }
 }
 
-// The daemons of the servers that crashed report, so that the number of reports
-// does not depend on the size of the fleet.
-void PoisonService::reportQuarantine(RequestDigest digest, bool wasRefused) {
-  const auto left = quarantined(digest);
-  if (!wasRefused && left && Quarantined && Table.hasCrash(digest, Own)) {
-    Quarantined(digest, *left);
+void PoisonService::notify(bool isUrgent) {
+  if (Changed) {
+    Changed(isUrgent);
   }
 }
 
-void PoisonService::restore(RequestDigest digest, Duration left) {
-  Table.restore(digest, Loop.now() + left);
-  Lines.info("request is refused since an earlier process refused it",
-             {{"digest", static_cast<std::uint64_t>(digest)}});
+void PoisonService::restore(const std::vector<PoisonUpdate> &crashes,
+                            bool isOwn) {
+  for (const auto &it : crashes) {
+    Table.restore(it, isOwn, Loop.now());
+  }
 }
 
 void PoisonService::succeeded(RequestDigest digest) {
-  for (const auto &it : Table.requestAnswered(digest, Loop.now())) {
+  const auto updates = Table.requestAnswered(digest, Loop.now());
+  for (const auto &it : updates) {
     spread(it);
   }
+  if (!updates.empty()) {
+    notify(false);
+  }
 }
 
 std::optional<Duration> PoisonService::quarantined(RequestDigest digest) const {
@@ -58,12 +71,14 @@
   if (!step) {
     return;
   }
-  const bool wasRefused = quarantined(step->Digest).has_value();
+  const auto before = Table.revision();
   const auto next = Table.merge(*step, Loop.now());
   if (next) {
     spread(*next);
   }
-  reportQuarantine(step->Digest, wasRefused);
+  if (Table.revision() != before) {
+    notify(!step->Cleared);
+  }
 }
 
 void PoisonService::onDeaths(
--- a/src/daemon/wire_convert.cpp
+++ b/src/daemon/wire_convert.cpp
@@ -116,6 +116,7 @@
   to->cleared = step.Cleared;
   to->id = static_cast<std::uint64_t>(step.Id);
   to->hops = step.Hops;
+  to->inferred = step.Evidence == CrashEvidence::Inferred;
   return to;
 }
 
@@ -124,9 +125,16 @@
   if (!server) {
     return std::nullopt;
   }
-  return PoisonUpdate{static_cast<RequestDigest>(death.digest), *server,
-                      std::chrono::milliseconds(death.age_ms),  death.cleared,
-                      static_cast<CrashId>(death.id),           death.hops};
+  PoisonUpdate out;
+  out.Digest = static_cast<RequestDigest>(death.digest);
+  out.Server = *server;
+  out.Age = std::chrono::milliseconds(death.age_ms);
+  out.Cleared = death.cleared;
+  out.Id = static_cast<CrashId>(death.id);
+  out.Hops = death.hops;
+  out.Evidence =
+      death.inferred ? CrashEvidence::Inferred : CrashEvidence::Direct;
+  return out;
 }
 
 std::vector<std::unique_ptr<wire::KindStatsT>>
--- a/src/sidecar/backend_service.cpp
+++ b/src/sidecar/backend_service.cpp
@@ -23,7 +23,7 @@
       Versions(parts.Versions), Poison(parts.Poison), Departed(parts.Departed),
       Upstream(std::move(place.Server)), Host(std::move(place.Host)),
       DataCentre(std::move(place.DataCentre)), Changed(std::move(changed)),
-      SentAt(reactor.now()) {}
+      SentAt(reactor.now()), Probe(reactor) {}
 
 bool BackendService::mayBeRunning() const {
   const auto now = Loop.now();
@@ -217,9 +217,21 @@
              Interrupted.size() < MaxInterrupted) {
     Interrupted.push_back(call.Digest);
     InterruptedAt = now;
+    probeServer();
   }
 }
 
+// Finds out at once whether the server is down: this daemon may be the next
+// process that ends.
+void BackendService::probeServer() {
+  Probe.start(Upstream, [this](ProbeResult result) {
+    if (result == ProbeResult::Refused) {
+      reportCrash();
+      markUnresponsive();
+    }
+  });
+}
+
 void BackendService::reportCrash() {
   for (const auto it : Interrupted) {
     Poison.serverDied(Host, it);
--- a/src/sidecar/host_memory.cpp
+++ b/src/sidecar/host_memory.cpp
@@ -14,7 +14,8 @@
 
 /** @return a number that is equal for the same content, whenever it is encoded,
  * and not 0. */
-std::uint64_t digestOf(const std::vector<Departure> &departures) {
+std::uint64_t digestOf(const std::vector<Departure> &departures,
+                       const std::vector<PoisonUpdate> &crashes) {
   auto out = hash64("record");
   for (const auto &it : departures) {
     out =
@@ -22,6 +23,9 @@
                    "/" + std::to_string(it.AnnouncedAtMs),
                out);
   }
+  for (const auto &it : crashes) {
+    out = hash64(std::to_string(static_cast<std::uint64_t>(it.Id)), out);
+  }
   return out;
 }
 
@@ -30,10 +34,11 @@
 HostMemory::HostMemory(Reactor &reactor, const StoreAccess &store,
                        const HostMemoryDependencies &parts, Address own,
                        PeerNotifier notifyPeers, std::function<void()> changed)
-    : Loop(reactor), Store(store), Departed(parts.Departed), Hosts(parts.Hosts),
-      Own(std::move(own)), NotifyPeers(std::move(notifyPeers)),
-      Changed(std::move(changed)) {
+    : Loop(reactor), Store(store), Departed(parts.Departed),
+      Poison(parts.Poison), Hosts(parts.Hosts), Own(std::move(own)),
+      NotifyPeers(std::move(notifyPeers)), Changed(std::move(changed)) {
   Departed.onAnnounced([this] { onAnnounced(); });
+  Poison.onChange([this](bool isUrgent) { onCrashesChanged(isUrgent); });
 }
 
 void HostMemory::start() {
@@ -58,6 +63,8 @@
                {{"key", record.Key}});
     return true;
   }
+  const auto crashes = crashesFromWire(memory->crashes, *host, utcMs());
+  restoreCrashes(*host, crashes);
   const auto departures = fromWire(memory->departures);
   if (*host != Own) {
     Hosts.recordDepartures(*host, departures, Loop.now());
@@ -68,10 +75,26 @@
     Lines.info("a server has left before this start of the daemon",
                {{"instance", it.Instance}});
   }
-  WrittenDigest = digestOf(departures);
+  WrittenDigest = digestOf(departures, crashes);
   return true;
 }
 
+void HostMemory::restoreCrashes(const Address &host,
+                                const std::vector<PoisonUpdate> &crashes) {
+  if (crashes.empty()) {
+    return;
+  }
+  Poison.restore(crashes, host == Own);
+  Lines.info("requests are suspected by an earlier process",
+             {{"host", toString(host)}, {"crashes", crashes.size()}});
+}
+
+std::int64_t HostMemory::utcMs() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             Loop.utcNow().time_since_epoch())
+      .count();
+}
+
 void HostMemory::onListed(std::uint64_t era) {
   Listed = true;
   WrittenEra = std::max(WrittenEra, era);
@@ -109,16 +132,30 @@
   NotifyPeers([this, revision = Revision] { markKept(revision); });
 }
 
+void HostMemory::onCrashesChanged(bool isUrgent) {
+  if (isUrgent) {
+    return save();
+  }
+  if (!std::exchange(IsClearing, true)) {
+    Loop.schedule(Loop.now() + ClearDelay, [this] {
+      IsClearing = false;
+      save();
+    });
+  }
+}
+
 HostMemory::Content HostMemory::content() const {
   const auto departures = Departed.newest(MaxKept);
-  if (departures.empty() && WrittenDigest == 0) {
+  const auto crashes = Poison.crashesToKeep(Own, MaxCrashes);
+  if (departures.empty() && crashes.empty() && WrittenDigest == 0) {
     return {};
   }
   wire::HostMemoryT memory;
   memory.departures = toWire(departures);
+  memory.crashes = crashesToWire(crashes, Own, utcMs());
   Content out;
   out.Bytes = encodeHostMemory(memory);
-  out.Digest = digestOf(departures);
+  out.Digest = digestOf(departures, crashes);
   return out;
 }
 
--- a/src/sidecar/host_memory_wire.h
+++ b/src/sidecar/host_memory_wire.h
@@ -7,6 +7,7 @@
 #ifndef CHIVEFOLD_SIDECAR_HOST_MEMORY_WIRE_H
 #define CHIVEFOLD_SIDECAR_HOST_MEMORY_WIRE_H
 
+#include "chivefold/core/poison_table.h"
 #include "chivefold/mesh/departures.h"
 #include "peer_generated.h"
 
@@ -28,6 +29,18 @@
 /** @return the announcements that name an instance. */
 std::vector<Departure> fromWire(const DeparturesOnWire &from);
 
+using CrashesOnWire = std::vector<std::unique_ptr<wire::KeptCrashT>>;
+
+/** Converts crashes that the daemon at @p own keeps. @param nowMs UTC. */
+CrashesOnWire crashesToWire(const std::vector<PoisonUpdate> &from,
+                            const Address &own, std::int64_t nowMs);
+
+/** @return the crashes of a record of the daemon at @p host that are valid. A
+ * clock that was ahead makes none younger than now. */
+std::vector<PoisonUpdate> crashesFromWire(const CrashesOnWire &from,
+                                          const Address &host,
+                                          std::int64_t nowMs);
+
 /** @return the bytes of a record in the store. */
 std::string encodeHostMemory(const wire::HostMemoryT &from);
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -8,7 +8,6 @@
 #include "chivefold/sidecar/host_memory.h"
 #include "chivefold/sidecar/order_feed.h"
 #include "chivefold/sidecar/proxy_service.h"
-#include "chivefold/sidecar/quarantine_store.h"
 #include "chivefold/sidecar/rollout_service.h"
 #include "chivefold/sidecar/usage_service.h"
 #include "sidecar_metrics.h"
@@ -95,7 +94,6 @@
   HttpClient ReportHttp;
   PeerNetwork Network;
   PoisonService Poison;
-  QuarantineStore Quarantines;
   Departures Departed;
   BackendService Backend;
   FleetService Fleet;
@@ -135,7 +133,6 @@
       Poison(
           Loop, Network, [this](std::size_t n) { return Fleet.randomHosts(n); },
           Seeds()),
-      Quarantines(Loop, store, Poison, Own.PeerListen),
       Backend(Loop, ServerHttp, {ports, Orders, Versions, Poison, Departed},
               {Own.BackendServer, Own.PeerListen, Own.DataCentre},
               [this] { onServerChanged(); }),
@@ -161,7 +158,7 @@
           },
           [this] { Servers.refresh(); }, Seeds()),
       Memory(
-          Loop, store, {Departed, Hosts}, Own.PeerListen,
+          Loop, store, {Departed, Poison, Hosts}, Own.PeerListen,
           [this](const std::function<void()> &kept) {
             Fleet.notifySome(MemoryPeers, kept);
           },
@@ -203,9 +200,8 @@
   Backend.onRun([this](const std::string &customer, TimePoint at, int change) {
     Usage.count(customer, at, change);
   });
-  Fleet.onOtherRecord([this](const KeyedRecord &record) {
-    return Quarantines.restore(record) || Memory.restore(record);
-  });
+  Fleet.onOtherRecord(
+      [this](const KeyedRecord &record) { return Memory.restore(record); });
   Fleet.onListed([this](std::uint64_t era) { Memory.onListed(era); });
   Network.onCancel([this](std::uint64_t token) { onCancel(token); });
 }
--- a/tests/edge/restarts.cpp
+++ b/tests/edge/restarts.cpp
@@ -219,6 +219,108 @@
   return checks.exitCode();
 }
 
+/** Tries of a request that crashes its server. Each crash but the first three
+ * that is later than contactMs counts for the rule, which allows three. */
+constexpr int CrashTries = 8;
+constexpr std::size_t MaxCrashes = 6;
+constexpr auto ContactTime = milliseconds(3000);
+
+void restartServer(Fleet &fleet, unsigned number) {
+  const auto instance = "i-" + std::to_string(number);
+  const auto ready = fleet.report("ready", unixMs(), 1);
+  fleet.server().start(instance);
+  require(eventually([&] { return fleet.own().tell(instance, ready) == 200; }),
+          "the server's report is not taken");
+}
+
+/** What happens to the daemons as a request crashes the server, and right
+ * after. */
+struct CrashDisruption {
+  std::function<void(Fleet &)> During;
+  std::function<void(Fleet &)> After;
+};
+
+// Guards against a request that goes on crashing servers since what was known
+// of it ended with the daemons, each time before it was refused.
+int runCrashes(const std::string &program, const CrashDisruption &disruption) {
+  Fleet fleet(program);
+  Checks checks;
+  auto &server = fleet.server();
+  server.IsCrashing = [](const HttpMessage &request) {
+    return request.target().find("crash") != std::string::npos;
+  };
+  server.OnCrash = [&] {
+    if (disruption.During) {
+      disruption.During(fleet);
+    }
+  };
+  for (unsigned i = 0; i < CrashTries; ++i) {
+    const auto before = server.runsOf("crash");
+    const int status = fleet.other().post("/desk/crash");
+    checks.check(status == 502 || status == 503,
+                 "the request that crashes is answered with " +
+                     std::to_string(status));
+    if (server.runsOf("crash") > before) {
+      disruption.After(fleet);
+      fleet.awaitReady();
+      restartServer(fleet, i);
+      require(eventually(
+                  [&] { return fleet.other().request(4, OwnService) == 200; }),
+              "the server is not used again");
+      sleepFor(ContactTime);
+    }
+  }
+  const auto crashes = server.runsOf("crash");
+  checks.check(crashes <= MaxCrashes, "the request reached servers " +
+                                          std::to_string(crashes) + " times");
+  checks.check(fleet.own().request(4, OwnService) == 200,
+               "an ordinary request");
+  return checks.exitCode();
+}
+
+void killAll(Fleet &fleet) {
+  // As soon as the store can know; what ends with the crash itself is lost.
+  sleepFor(milliseconds(300));
+  fleet.own().kill();
+  fleet.other().kill();
+  fleet.own().respawn();
+  fleet.other().respawn();
+}
+
+// Guards against ordinary requests that are refused since they were in flight
+// when servers ended for other reasons, beside restarts of all daemons.
+int runOrdinary(const std::string &program) {
+  Fleet fleet(program);
+  Checks checks;
+  for (unsigned round = 0; round < 3; ++round) {
+    std::vector<std::thread> clients;
+    for (int i = 0; i < 4; ++i) {
+      clients.emplace_back([&fleet, i] {
+        fleet.other().post("/desk/slow-" + std::to_string(i));
+      });
+    }
+    const auto before = 4 * (round + 1) + 4 * round;
+    require(eventually([&] { return fleet.server().runsOf("slow") >= before; }),
+            "the requests do not begin");
+    fleet.server().crash();
+    for (auto &it : clients) {
+      it.join();
+    }
+    killAll(fleet);
+    fleet.awaitReady();
+    restartServer(fleet, round);
+    require(
+        eventually([&] { return fleet.other().request(4, OwnService) == 200; }),
+        "the server is not used again");
+    for (int i = 0; i < 4; ++i) {
+      const int status = fleet.other().post("/desk/slow-" + std::to_string(i));
+      checks.check(status == 200, "an ordinary request that was in flight: " +
+                                      std::to_string(status));
+    }
+  }
+  return checks.exitCode();
+}
+
 using Case = std::function<int(const std::string &program)>;
 
 std::map<std::string, Case> cases() {
@@ -232,6 +334,10 @@
   out["leave_answer"] = [](const std::string &program) {
     return runLeave(program, stateInAnswer);
   };
+  out["crash_kill_all"] = [](const std::string &program) {
+    return runCrashes(program, {{}, killAll});
+  };
+  out["crash_ordinary"] = runOrdinary;
   return out;
 }
 
--- a/tests/unit/backend_service_test.cpp
+++ b/tests/unit/backend_service_test.cpp
@@ -158,6 +158,32 @@
   CHECK(refused->Code == ErrorCode::Quarantined);
 }
 
+// Guards against a crash that is noticed by the next call alone: the daemon may
+// end before that.
+TEST_CASE("a crash is noticed without another call", "[backend]") {
+  BackendFixture f;
+  f.configure();
+  REQUIRE(f.Backend.report(f.report("i", 1, 1)));
+  const bool isDown = GENERATE(true, false);
+  std::optional<CallResult> result;
+  std::thread server([&] {
+    const auto s = f.Listener.accepted();
+    s.readUntil("\r\n\r\n");
+    if (isDown) {
+      f.Listener.reset();
+    }
+  });
+  f.Backend.run(f.call(), [&](CallResult r) { result = std::move(r); });
+  REQUIRE(runUntil(f.Loop, [&] { return result.has_value(); }));
+  server.join();
+  CHECK(result->Result == Outcome::Unknown);
+  const auto end = f.Loop.now() + std::chrono::milliseconds(300);
+  runUntil(f.Loop, [&] {
+    return f.Loop.now() >= end || (isDown && !f.Poison.isEmpty());
+  });
+  CHECK(f.Poison.isEmpty() != isDown);
+}
+
 // Guards against running a queued call after the daemon that sent it has
 // disconnected and its client was told that the outcome is unknown.
 TEST_CASE("a call that waited is not run for a caller that left", "[backend]") {
@@ -240,7 +266,7 @@
   const auto call = [&f](bool answers) {
     std::optional<CallResult> result;
     std::thread server([&f, answers] {
-      const auto s = f.Listener.accepted();
+      const auto s = f.Listener.acceptedInUse();
       s.readUntil("\r\n\r\n");
       if (answers) {
         s.write("HTTP/1.1 500 Error\r\nConnection: close\r\n"
--- a/tests/unit/departures_test.cpp
+++ b/tests/unit/departures_test.cpp
@@ -16,11 +16,17 @@
 /** A HostMemory and what it depends on, as in one daemon. */
 struct Remembering {
   Remembering(Reactor &reactor, const StoreAccess &store)
-      : Memory(
-            reactor, store, {Departed, Hosts}, {"10.0.0.1", 1},
+      : Network(reactor, {"127.0.0.1", 0}, [](auto &&...) {}),
+        Poison(
+            reactor, Network,
+            [](std::size_t) { return std::vector<Address>(); }, 1),
+        Memory(
+            reactor, store, {Departed, Poison, Hosts}, {"10.0.0.1", 1},
             [this](const auto &kept) { ToPeers = kept; },
             [this] { ++Changes; }) {}
 
+  PeerNetwork Network;
+  PoisonService Poison;
   Departures Departed;
   FleetTable Hosts{1};
   /** Ends the last message to peers. */
--- a/tests/unit/poison_table_test.cpp
+++ b/tests/unit/poison_table_test.cpp
@@ -183,3 +183,71 @@
   table.serverCrashed(Second, {static_cast<RequestDigest>(0)}, T0);
   CHECK_FALSE(table.quarantined(static_cast<RequestDigest>(0), T0));
 }
+
+// Guards against a quarantine of ordinary requests: a host that loses power
+// takes them along, and their clients send them again to the next such host.
+TEST_CASE("inferred crashes count only three times", "[poison]") {
+  PoisonTable table{1};
+  const Address third{"127.0.0.1", 3};
+  table.serverCrashed(First, {Crashing}, T0, CrashEvidence::Inferred);
+  table.serverCrashed(Second, {Crashing}, T0 + 5s, CrashEvidence::Inferred);
+  CHECK_FALSE(table.quarantined(Crashing, T0 + 5s));
+  table.serverCrashed(third, {Crashing}, T0 + 10s, CrashEvidence::Inferred);
+  CHECK(table.quarantined(Crashing, T0 + 10s));
+  // The daemon beside the server saw the same crash.
+  table.serverCrashed(First, {Harmless}, T0, CrashEvidence::Inferred);
+  table.serverCrashed(Second, {Harmless}, T0 + 5s);
+  CHECK_FALSE(table.quarantined(Harmless, T0 + 5s));
+  CHECK(table.serverCrashed(First, {Harmless}, T0 + 100ms).empty());
+  CHECK(table.quarantined(Harmless, T0 + 5s));
+}
+
+// Guards against a storm of crashes, with ordinary requests in flight at each,
+// that displaces what is known of a request that crashes servers.
+TEST_CASE("digests with one crash are evicted first", "[poison]") {
+  PoisonTable table{1};
+  table.serverCrashed(First, {Crashing}, T0);
+  table.serverCrashed(Second, {Crashing}, T0 + 1s);
+  for (std::uint64_t n = 100; n < 100 + 2 * PoisonTable::MaxDigests; ++n) {
+    table.serverCrashed(First, {static_cast<RequestDigest>(n)}, T0 + 2s);
+  }
+  CHECK(table.size() == PoisonTable::MaxDigests);
+  CHECK(table.quarantined(Crashing, T0 + 2s));
+  // Probes carry it before the newer ones.
+  CHECK(table.activeCrashes(2, T0 + 2s).front().Digest == Crashing);
+}
+
+// Guards against a daemon that does not keep a crash that only it has seen, and
+// against one that keeps those of the whole fleet.
+TEST_CASE("a daemon keeps what it saw and what crashed its server",
+          "[poison]") {
+  PoisonTable own{1};
+  PoisonTable other{2};
+  const auto merge = [](PoisonTable &to,
+                        const std::vector<PoisonUpdate> &updates) {
+    for (const auto &it : updates) {
+      to.merge(it, T0);
+    }
+  };
+  merge(own, other.serverCrashed(Second, {Crashing, Harmless}, T0));
+  CHECK(own.crashesToKeep(First, 9, T0).empty());
+  own.serverCrashed(First, {Crashing}, T0 + 1s);
+  const auto kept = own.crashesToKeep(First, 9, T0 + 1s);
+  REQUIRE(kept.size() == 2);
+  CHECK(kept.front().Digest == Crashing);
+  CHECK(own.crashesToKeep(First, 1, T0 + 1s).size() == 1);
+  // Of another server, seen by this daemon alone.
+  own.serverCrashed({"127.0.0.1", 3}, {Harmless}, T0 + 2s,
+                    CrashEvidence::Inferred);
+  CHECK(own.crashesToKeep(First, 9, T0 + 2s).size() == 3);
+  // Its successor goes on keeping them, others do not.
+  PoisonTable next{3};
+  PoisonTable third{4};
+  for (const auto &it : own.crashesToKeep(First, 9, T0 + 2s)) {
+    next.restore(it, true, T0 + 2s);
+    third.restore(it, false, T0 + 2s);
+  }
+  CHECK(next.crashesToKeep(First, 9, T0 + 2s).size() == 3);
+  CHECK(third.crashesToKeep({"127.0.0.1", 4}, 9, T0 + 2s).empty());
+  CHECK(third.quarantined(Crashing, T0 + 2s));
+}
--- a/tests/unit/raw_socket.h
+++ b/tests/unit/raw_socket.h
@@ -53,6 +53,17 @@
     return s;
   }
   RawSocket accepted() const { return RawSocket(accept(Fd, nullptr, nullptr)); }
+  /** @return the next connection that carries bytes: a daemon also connects to
+   * see whether a server listens. */
+  RawSocket acceptedInUse() const {
+    for (;;) {
+      auto out = accepted();
+      char byte = 0;
+      if (!out.isOpen() || recv(out.Fd, &byte, 1, MSG_PEEK) > 0) {
+        return out;
+      }
+    }
+  }
   Address address() const {
     sockaddr_in name{};
     socklen_t n = sizeof(name);
