Conclude a crash from a lost call and the server's next start

Cause: only the daemon beside a server records its crash. If it ends at the same moment, no one tells. Ruled out: crashes of one server that count once, which mended.

Change: the caller's daemon, which saw its call lost with the link, records an inferred crash when the server is found to have started again.

--- a/include/chivefold/mesh/placement.h
+++ b/include/chivefold/mesh/placement.h
@@ -187,6 +187,13 @@
    * the daemon beside the server restarts. */
   RequestLimit knownLimit(const Address &peer) const;
 
+  /** @return the start of the server beside the daemon at @p peer; 0 if it is
+   * not known. */
+  std::uint64_t serverStart(const Address &peer) const {
+    const auto *entry = Fleet.find(peer);
+    return entry == nullptr ? 0 : entry->State.Server.Start;
+  }
+
   /** @return number of hosts in the fleet, whether they can be reached or not.
    */
   std::size_t fleetSize() const { return Fleet.hosts().size(); }
--- a/include/chivefold/sidecar/proxy_service.h
+++ b/include/chivefold/sidecar/proxy_service.h
@@ -11,6 +11,7 @@
 #include "chivefold/io/peer_network.h"
 #include "chivefold/mesh/attempt_age.h"
 #include "chivefold/mesh/attempt_policy.h"
+#include "chivefold/mesh/lost_calls.h"
 #include "chivefold/mesh/placement.h"
 #include "chivefold/mesh/service_split.h"
 #include "chivefold/sidecar/backend_service.h"
@@ -34,7 +35,7 @@
   const OrderFeed &Feed;
   Placement &Servers;
   BackendService &Backend;
-  const PoisonService &Poison;
+  PoisonService &Poison;
   Metrics &CallMetrics;
   /** What the operator allows; absent if not stated. */
   std::optional<RetryTerms> Retries;
@@ -70,6 +71,10 @@
    * Call after the operator's orders have changed. */
   void ordersChanged();
 
+  /** Finds lost calls that may have crashed their servers. Call after a fleet
+   * change. */
+  void fleetChanged();
+
   /** Refuses new requests; those in progress continue. */
   void startLeaving() { Leaving = true; }
 
@@ -93,6 +98,7 @@
   void attempt(const RequestPtr &request);
   void finishUnrouted(const RequestPtr &request, int status);
   void onRouteChanged(const RequestPtr &request, const CallResult &result);
+  void onPeerLost(const Request &request, const PeerOutcome &outcome);
   void sendTo(const RequestPtr &request, const PlacementChoice &choice);
   void onResult(const RequestPtr &request, CallResult result);
   static AttemptEnd endOf(const CallResult &result);
@@ -124,6 +130,7 @@
   std::map<std::string, RetryBudget, std::less<>> Budgets;
   ServiceSplit Split;
   AttemptAgeEstimator Ages;
+  LostCalls Lost;
   CustomerAccess Access;
   Logger Lines{"proxy"};
 };
--- a/src/sidecar/proxy_service.cpp
+++ b/src/sidecar/proxy_service.cpp
@@ -97,6 +97,7 @@
         if (answer) {
           return onResult(open, std::move(*answer));
         }
+        onPeerLost(*open, outcome);
         const auto end =
             outcome.MayHaveArrived ? Outcome::Unknown : Outcome::NotRun;
         onResult(open, failedCall(end, outcome.Failure.Code, 502, {}));
@@ -104,6 +105,29 @@
       request->Call.Rest);
 }
 
+// The daemon beside the server ended or was cut off. Its server may have
+// crashed by the request, and no one else may know.
+void ProxyService::onPeerLost(const Request &request,
+                              const PeerOutcome &outcome) {
+  if (outcome.MayHaveArrived &&
+      outcome.Failure.Code == ErrorCode::ConnectionFailed) {
+    Lost.add({request.Peer, request.Call.ServerStart, digestOf(request.Call),
+              Loop.now()});
+  }
+}
+
+void ProxyService::fleetChanged() {
+  const auto crashed = Lost.takeCrashed(
+      [this](const Address &peer) { return Parts.Servers.serverStart(peer); },
+      Loop.now());
+  for (const auto &it : crashed) {
+    Lines.info("a server has started again after a lost call",
+               {{"host", toString(it.Peer)},
+                {"digest", static_cast<std::uint64_t>(it.Digest)}});
+    Parts.Poison.serverPresumedDead(it.Peer, it.Digest, it.At);
+  }
+}
+
 AttemptEnd ProxyService::endOf(const CallResult &result) {
   switch (result.Result) {
   case Outcome::Answered:
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -156,7 +156,11 @@
             Poison.onDeaths(piggybacked.Deaths);
             Memory.merge(piggybacked.Departed, piggybacked.KnowsDepartures);
           },
-          [this] { Servers.refresh(); }, Seeds()),
+          [this] {
+            Servers.refresh();
+            Proxy.fleetChanged();
+          },
+          Seeds()),
       Memory(
           Loop, store, {Departed, Poison, Hosts}, Own.PeerListen,
           [this](const std::function<void()> &kept) {
--- a/tests/edge/restarts.cpp
+++ b/tests/edge/restarts.cpp
@@ -337,6 +337,10 @@
   out["crash_kill_all"] = [](const std::string &program) {
     return runCrashes(program, {{}, killAll});
   };
+  out["crash_kill_daemon"] = [](const std::string &program) {
+    return runCrashes(program, {[](Fleet &fleet) { fleet.own().kill(); },
+                                [](Fleet &fleet) { fleet.own().respawn(); }});
+  };
   out["crash_ordinary"] = runOrdinary;
   return out;
 }
