--- a/tests/edge/endless.cpp
+++ b/tests/edge/endless.cpp
@@ -90,9 +90,10 @@
         return send(fd, *shape);
       }
       const auto id = request.header("Chivefold-Request-Id");
-      if (!sendAll(fd, "HTTP/1.1 200 OK\r\nChivefold-Request-Id: " + id +
-                           "\r\nChivefold-Server-Signature: s." + id +
-                           "\r\nContent-Length: 2\r\n\r\nok")) {
+      std::string answer = "HTTP/1.1 200 OK\r\nChivefold-Request-Id: ";
+      answer.append(id).append("\r\nChivefold-Server-Signature: s.");
+      answer.append(id).append("\r\nContent-Length: 2\r\n\r\nok");
+      if (!sendAll(fd, answer)) {
         return;
       }
     }
