--- a/tests/edge/restarts.cpp
+++ b/tests/edge/restarts.cpp
@@ -294,6 +294,7 @@
   Checks checks;
   for (unsigned round = 0; round < 3; ++round) {
     std::vector<std::thread> clients;
+    clients.reserve(4);
     for (int i = 0; i < 4; ++i) {
       clients.emplace_back([&fleet, i] {
         fleet.other().post("/desk/slow-" + std::to_string(i));
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -260,7 +260,7 @@
   }
   f.pass(50ms);
   CHECK(f.records() == 1);
-  CHECK(f.listed().front().Value->size() < 32 * 1024);
+  CHECK(f.listed().front().Value->size() < (32U << 10U));
   const auto next = f.daemon(f.First, 2);
   CHECK(next->Poison.quarantined(Crashing));
   CHECK(next->Poison.deathsToSend(1000).size() == HostMemory::MaxCrashes);
