Spread inferred deaths of servers to fewer daemons

Change: an inferred death goes to three peers in place of eight, is on hello messages only with another of its digest, and is written within a second in place of at once.

--- a/include/chivefold/core/poison_table.h
+++ b/include/chivefold/core/poison_table.h
@@ -127,8 +127,9 @@
   std::vector<Address> crashedServers(RequestDigest digest) const;
 
   /** @return updates for up to @p max crashes with their ages: digests with
-   * several crashes first, then the newest. They have no hops left, so that a
-   * receiver does not forward them. */
+   * several crashes first, then the newest. Without those of one inferred
+   * crash, of which a host that loses power leaves many. They have no hops
+   * left, so that a receiver does not forward them. */
   std::vector<PoisonUpdate> activeCrashes(std::size_t max, TimePoint now) const;
 
   /** @return in the same order, up to @p max crashes that the daemon at @p own
--- a/src/core/poison_table.cpp
+++ b/src/core/poison_table.cpp
@@ -153,8 +153,8 @@
   }
   for (const auto &crash : it->second.Crashes) {
     advanceStage(crash.Id, Stage::Cleared);
-    updates.push_back(
-        {digest, crash.Server, Duration::zero(), true, crash.Id, MaxHops});
+    updates.push_back({digest, crash.Server, Duration::zero(), true, crash.Id,
+                       MaxHops, crash.Evidence});
   }
   erase(digest);
   return updates;
@@ -215,7 +215,9 @@
 
 std::vector<PoisonUpdate> PoisonTable::activeCrashes(std::size_t max,
                                                      TimePoint now) const {
-  return select(max, now, [](const Entry &, const Crash &) { return true; });
+  return select(max, now, [](const Entry &entry, const Crash &crash) {
+    return entry.Crashes.size() > 1 || crash.Evidence == CrashEvidence::Direct;
+  });
 }
 
 std::vector<PoisonUpdate> PoisonTable::crashesToKeep(const Address &own,
--- a/src/daemon/poison_service.cpp
+++ b/src/daemon/poison_service.cpp
@@ -35,7 +35,7 @@
     spread(it);
   }
   if (!updates.empty()) {
-    notify(true);
+    notify(evidence == CrashEvidence::Direct || quarantined(digest));
   }
 }
 
@@ -77,7 +77,7 @@
     spread(*next);
   }
   if (Table.revision() != before) {
-    notify(!step->Cleared);
+    notify(!step->Cleared && step->Evidence == CrashEvidence::Direct);
   }
 }
 
@@ -109,7 +109,9 @@
                {{"digest", static_cast<std::uint64_t>(step.Digest)}});
     return;
   }
-  for (const auto &it : RandomPeers(Fanout)) {
+  const auto fanout =
+      step.Evidence == CrashEvidence::Direct ? Fanout : InferredFanout;
+  for (const auto &it : RandomPeers(fanout)) {
     Network.send(it, frameBody(std::move(*poisonToWire(step))));
   }
 }
--- a/tests/unit/poison_table_test.cpp
+++ b/tests/unit/poison_table_test.cpp
@@ -194,6 +194,13 @@
   CHECK_FALSE(table.quarantined(Crashing, T0 + 5s));
   table.serverCrashed(third, {Crashing}, T0 + 10s, CrashEvidence::Inferred);
   CHECK(table.quarantined(Crashing, T0 + 10s));
+  // Probes carry a digest with one such crash only when there is another.
+  table.serverCrashed(First, {static_cast<RequestDigest>(9)}, T0 + 10s,
+                      CrashEvidence::Inferred);
+  CHECK(table.activeCrashes(9, T0 + 10s).size() == 3);
+  table.serverCrashed(Second, {static_cast<RequestDigest>(9)}, T0 + 11s,
+                      CrashEvidence::Inferred);
+  CHECK(table.activeCrashes(9, T0 + 11s).size() == 5);
   // The daemon beside the server saw the same crash.
   table.serverCrashed(First, {Harmless}, T0, CrashEvidence::Inferred);
   table.serverCrashed(Second, {Harmless}, T0 + 5s);
