Tell the daemon beside a server alone of an inferred death

Cause: each inferred death was spread through the fleet, and most are of ordinary requests that were lost with a host.

Change: it goes to the daemon beside the server, whose gate refuses the request once there are enough. Probes carry a digest with several deaths to the others.

--- a/include/chivefold/daemon/poison_service.h
+++ b/include/chivefold/daemon/poison_service.h
@@ -29,9 +29,6 @@
    * given daemon of 14 misses a death in 0.8% of all cases, with 8 in under
    * 0.01%. */
   static constexpr std::size_t Fanout = 8;
-  /** The same for inferred deaths, most of which are of ordinary requests: a
-   * given daemon misses one in 6% of all cases. */
-  static constexpr std::size_t InferredFanout = 3;
   /** Steps that are spread a second, each to Fanout peers, so that the death of
    * many servers at once does not load the links; the rest reaches other
    * daemons with probes, and is counted in the log. */
--- a/src/daemon/poison_service.cpp
+++ b/src/daemon/poison_service.cpp
@@ -109,9 +109,15 @@
                {{"digest", static_cast<std::uint64_t>(step.Digest)}});
     return;
   }
-  const auto fanout =
-      step.Evidence == CrashEvidence::Direct ? Fanout : InferredFanout;
-  for (const auto &it : RandomPeers(fanout)) {
+  if (step.Evidence == CrashEvidence::Inferred && !refused) {
+    // Most are of ordinary requests. The daemon beside the server refuses it
+    // at its gate once there are enough, and probes tell the others.
+    auto last = step;
+    last.Hops = 0;
+    Network.send(step.Server, frameBody(std::move(*poisonToWire(last))));
+    return;
+  }
+  for (const auto &it : RandomPeers(Fanout)) {
     Network.send(it, frameBody(std::move(*poisonToWire(step))));
   }
 }
