Keep an inferred death beside its server only

The daemon beside the server is told of them and keeps them.

restart_crash_kill_daemon and restart_crash_kill_all end with three crashes, 49 unit cases of these parts pass.

--- a/include/chivefold/core/poison_table.h
+++ b/include/chivefold/core/poison_table.h
@@ -149,7 +149,7 @@
     TimePoint At{};
     CrashId Id = CrashId::None;
     CrashEvidence Evidence = CrashEvidence::Direct;
-    /** Reported to this table first. */
+    /** Seen by this daemon; an inferred one is kept beside its server. */
     bool IsObserved = false;
   };
   struct Entry {
--- a/src/core/poison_table.cpp
+++ b/src/core/poison_table.cpp
@@ -19,7 +19,8 @@
   std::vector<PoisonUpdate> updates;
   for (const auto digest : inFlight) {
     const auto id = static_cast<CrashId>(Random());
-    if (recordCrash(digest, {server, at, id, evidence, true}, at)) {
+    const bool isSeen = evidence == CrashEvidence::Direct;
+    if (recordCrash(digest, {server, at, id, evidence, isSeen}, at)) {
       advanceStage(id, Stage::Crashed);
       updates.push_back(
           {digest, server, Duration::zero(), false, id, MaxHops, evidence});
--- a/tests/unit/poison_table_test.cpp
+++ b/tests/unit/poison_table_test.cpp
@@ -244,17 +244,21 @@
   CHECK(kept.front().Digest == Crashing);
   CHECK(own.crashesToKeep(First, 1, T0 + 1s).size() == 1);
   // Of another server, seen by this daemon alone.
-  own.serverCrashed({"127.0.0.1", 3}, {Harmless}, T0 + 2s,
+  const Address third{"127.0.0.1", 3};
+  own.serverCrashed(third, {Harmless}, T0 + 2s);
+  // An inferred one is kept by the daemon beside the server.
+  own.serverCrashed(third, {static_cast<RequestDigest>(9)}, T0 + 2s,
                     CrashEvidence::Inferred);
   CHECK(own.crashesToKeep(First, 9, T0 + 2s).size() == 3);
+  CHECK(own.crashesToKeep(third, 9, T0 + 2s).size() == 4);
   // Its successor goes on keeping them, others do not.
   PoisonTable next{3};
-  PoisonTable third{4};
+  PoisonTable remote{4};
   for (const auto &it : own.crashesToKeep(First, 9, T0 + 2s)) {
     next.restore(it, true, T0 + 2s);
-    third.restore(it, false, T0 + 2s);
+    remote.restore(it, false, T0 + 2s);
   }
   CHECK(next.crashesToKeep(First, 9, T0 + 2s).size() == 3);
-  CHECK(third.crashesToKeep({"127.0.0.1", 4}, 9, T0 + 2s).empty());
-  CHECK(third.quarantined(Crashing, T0 + 2s));
+  CHECK(remote.crashesToKeep({"127.0.0.1", 4}, 9, T0 + 2s).empty());
+  CHECK(remote.quarantined(Crashing, T0 + 2s));
 }
