Review 3: name LOST in the cases of heads, and show it with ordinary clients

Cause: a process that exceeds its memory is ended with the requests of others; LOST is the rule for that, and Faults only counts the ends.

--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -17,6 +17,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -27,6 +28,7 @@
 #include <vector>
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -255,6 +257,8 @@
 
   /** Runs before each read of the socket; @return the most bytes to read. */
   std::function<std::size_t()> Pace;
+  /** The last read ended by the time limit of its socket. */
+  bool HasTimedOut = false;
 
 private:
   bool fill() {
@@ -262,6 +266,7 @@
     const auto most = Pace ? std::min(Pace(), buf.size()) : buf.size();
     const auto n = recv(Fd, buf.data(), most, 0);
     if (n <= 0) {
+      HasTimedOut = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
       return false;
     }
     Buffer.append(buf.data(), static_cast<std::size_t>(n));
@@ -778,6 +783,98 @@
          body;
 }
 
+/** A request whose connection was closed by the daemon without an answer. */
+struct Cut {
+  std::string Id;
+  double SentAt = 0;
+  double ClosedAt = 0;
+};
+
+/** Requests, not the first of their connections, that were cut. Thread-safe. */
+class Cuts {
+public:
+  void add(Cut it) {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    All.push_back(std::move(it));
+  }
+
+  /** @return those that one of the servers began to run, which it records. */
+  std::vector<Cut> reached(const std::vector<Server *> &servers) {
+    std::map<std::string, bool> ran;
+    for (auto *server : servers) {
+      for (const auto &it : server->runs()) {
+        ran[it.Id] = true;
+      }
+    }
+    const std::lock_guard<std::mutex> lock(Mutex);
+    std::vector<Cut> out;
+    std::copy_if(All.begin(), All.end(), std::back_inserter(out),
+                 [&](const Cut &it) { return ran.count(it.Id) > 0; });
+    return out;
+  }
+
+private:
+  std::mutex Mutex;
+  std::vector<Cut> All;
+};
+
+/** Ordinary clients: each sends one unsafe request after the other on a kept
+ * connection, until the end of the case. */
+class OrdinaryClients {
+public:
+  OrdinaryClients(std::string callers, std::string name, unsigned count,
+                  int deadlineMs, Cuts &cuts)
+      : Callers(std::move(callers)), DeadlineMs(deadlineMs), Seen(cuts) {
+    for (unsigned i = 0; i < count; ++i) {
+      std::thread([this, i, id = name + std::to_string(i)] {
+        for (unsigned n = 0;;) {
+          useConnection(i % 2 == 0 ? "/book/" : "/pay/", id, n);
+          std::this_thread::sleep_for(milliseconds(20));
+        }
+      }).detach();
+    }
+  }
+
+  std::atomic<unsigned> Served{0};
+  std::atomic<unsigned> Other{0};
+
+private:
+  void useConnection(const std::string &path, const std::string &name,
+                     unsigned &n) {
+    const int fd = connectTo(Callers);
+    if (fd < 0) {
+      return;
+    }
+    limitReads(fd, milliseconds(DeadlineMs));
+    Reader in(fd);
+    for (bool isFirst = true;; isFirst = false) {
+      const auto id = name + "-" + std::to_string(++n);
+      const auto sentAt = now();
+      Message out;
+      if (!sendAll(fd, post(path + id, id, DeadlineMs, "work")) ||
+          !in.read(out)) {
+        if (!isFirst && !in.HasTimedOut) {
+          Seen.add({id, sentAt, now()});
+        }
+        break;
+      }
+      ++(out.status() == 200 ? Served : Other);
+      if (strcasecmp(out.header("Connection").c_str(), "close") == 0) {
+        break;
+      }
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    close(fd);
+  }
+
+  const std::string Callers;
+  const int DeadlineMs;
+  Cuts &Seen;
+};
+
+/** The rule LOST allows so many. */
+constexpr std::size_t MaxCut = 3;
+
 /** Two hosts of two services, and the store. */
 struct Deployment {
   Deployment(const std::string &folder, unsigned slots, milliseconds work,
