Review 3: a case of a store whose resets end a daemon

Cause: a call of the HTTP client that waits is removed from the queue after it has got a connection; if that fails at once, the queue is entered again with the same call, which is gone.

--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -345,11 +345,17 @@
         const auto out = answer(request);
         if (!sendAll(fd, "HTTP/1.1 " + std::to_string(out.Status) +
                              " X\r\nContent-Type: " + out.Type +
+                             "\r\nStore-Era: " + std::to_string(Era) +
                              "\r\nContent-Length: " +
                              std::to_string(out.Body.size()) + "\r\n\r\n" +
                              out.Body)) {
           return;
         }
+        if (ResetsConnections) {
+          const linger hard{1, 0};
+          setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+          return;
+        }
       }
     });
   }
@@ -361,6 +367,32 @@
     Changed.notify_all();
   }
 
+  /** The store is away: each call gets 503. */
+  void goAway() {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    IsAway = true;
+    Changed.notify_all();
+  }
+
+  /** The store is back, from a copy to which nothing is missing. */
+  void comeBack() {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    IsAway = false;
+    ++Era;
+  }
+
+  /** @return the newest value of each key of a topic. */
+  std::map<std::string, std::string> values(const std::string &topic) {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    std::map<std::string, std::string> out;
+    for (const auto &[key, value] : Topics[topic]) {
+      out[key] = value;
+    }
+    return out;
+  }
+
+  /** Connections are reset as soon as an answer is out. */
+  std::atomic<bool> ResetsConnections{false};
   const std::string Address;
 
 private:
@@ -420,6 +452,9 @@
     const auto target = request.target();
     const auto path = target.substr(0, target.find('?'));
     std::unique_lock<std::mutex> lock(Mutex);
+    if (IsAway) {
+      return {503, "application/json", "{}"};
+    }
     auto &items = Topics[query(target, "topic")];
     if (path == "/-/log-append") {
       return append(items, target, request.Body);
@@ -459,7 +494,10 @@
     const auto from = std::strtoull(query(target, "from").c_str(), nullptr, 10);
     const auto wait = std::atoi(query(target, "waitMs").c_str());
     Changed.wait_for(lock, milliseconds(wait),
-                     [&] { return items.size() > from; });
+                     [&] { return IsAway || items.size() > from; });
+    if (IsAway) {
+      return {503, "application/json", "{}"};
+    }
     auto out = bigEndian(items.size(), 8) + bigEndian(0, 8);
     for (auto i = from; i < items.size(); ++i) {
       const auto &[key, value] = items[i];
@@ -490,6 +528,8 @@
   std::mutex Mutex;
   std::condition_variable Changed;
   std::map<std::string, Items> Topics;
+  bool IsAway = false;
+  std::atomic<unsigned> Era{0};
 };
 
 /** A route "/NAME/" to a service. */
@@ -687,9 +727,9 @@
 class Daemon {
 public:
   Daemon(const std::string &folder, const Store &store, const Server &server,
-         DaemonLimits limits = {})
+         DaemonLimits limits = {}, const std::string &peers = "")
       : Callers(freeAddress()), Readiness(freeAddress()), Admin(freeAddress()),
-        Peers(freeAddress()), Settings(folder + "/" + server.Service + ".toml"),
+        Peers(peers.empty() ? freeAddress() : peers), Settings(folder + "/" + server.Service + ".toml"),
         LogFile(folder + "/" + server.Service + ".log") {
     std::ofstream out(Settings);
     out << "caller-listen=\"" << Callers << "\"\nreadiness-listen=\""
