--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -25,6 +25,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <arpa/inet.h>
@@ -61,7 +62,8 @@
 /** The file record.txt of a case. Thread-safe. */
 class Record {
 public:
-  explicit Record(const std::string &file) : Out(std::fopen(file.c_str(), "w")) {}
+  explicit Record(const std::string &file)
+      : Out(std::fopen(file.c_str(), "w")) {}
   template <class... Args> void line(const char *format, Args... args) {
     const std::lock_guard<std::mutex> lock(Mutex);
     for (auto *to : {Out, Echoes ? stdout : nullptr}) {
@@ -150,8 +152,8 @@
   const auto colon = address.rfind(':');
   sockaddr_in out{};
   out.sin_family = AF_INET;
-  out.sin_port = htons(
-      static_cast<std::uint16_t>(std::atoi(address.c_str() + colon + 1)));
+  out.sin_port =
+      htons(static_cast<std::uint16_t>(std::atoi(address.c_str() + colon + 1)));
   inet_pton(AF_INET, address.substr(0, colon).c_str(), &out.sin_addr);
   return out;
 }
@@ -303,8 +305,7 @@
 /** Sends a request on a connection of its own. @return the status of a whole
  * answer; 0 without one. */
 inline int exchange(const std::string &address, const std::string &request,
-                    Message &answer,
-                    milliseconds limit = milliseconds(30000)) {
+                    Message &answer, milliseconds limit = milliseconds(30000)) {
   const int fd = connectTo(address);
   if (fd < 0) {
     return 0;
@@ -673,9 +674,8 @@
     auto run = std::make_shared<Run>();
     run->Id = id;
     const auto until =
-        Clock::now() +
-        milliseconds(std::atoll(
-            request.header("Chivefold-Deadline-Ms").c_str()));
+        Clock::now() + milliseconds(std::atoll(
+                           request.header("Chivefold-Deadline-Ms").c_str()));
     {
       std::unique_lock<std::mutex> lock(Mutex);
       const auto isFree = [this] { return Busy < Slots; };
@@ -692,8 +692,8 @@
     }
     const auto end = Clock::now() + Work;
     while (Clock::now() < end && !run->IsDropped) {
-      std::this_thread::sleep_for(std::min<Clock::duration>(
-          milliseconds(10), end - Clock::now()));
+      std::this_thread::sleep_for(
+          std::min<Clock::duration>(milliseconds(10), end - Clock::now()));
       run->IsDropped = hasClosed(fd);
     }
     const std::lock_guard<std::mutex> lock(Mutex);
@@ -729,7 +729,8 @@
   Daemon(const std::string &folder, const Store &store, const Server &server,
          DaemonLimits limits = {}, const std::string &peers = "")
       : Callers(freeAddress()), Readiness(freeAddress()), Admin(freeAddress()),
-        Peers(peers.empty() ? freeAddress() : peers), Settings(folder + "/" + server.Service + ".toml"),
+        Peers(peers.empty() ? freeAddress() : peers),
+        Settings(folder + "/" + server.Service + ".toml"),
         LogFile(folder + "/" + server.Service + ".log") {
     std::ofstream out(Settings);
     out << "caller-listen=\"" << Callers << "\"\nreadiness-listen=\""
@@ -748,7 +749,8 @@
     const auto file = "CHIVEFOLD_CONFIG=" + Settings;
     const pid_t pid = fork();
     if (pid == 0) {
-      const int log = open(LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      const int log =
+          open(LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(log, 1);
       dup2(log, 2);
       std::array<char *, 3> env{const_cast<char *>(file.c_str()),
@@ -796,6 +798,17 @@
     return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
   }
 
+  /** @return the last line that the process wrote, and that before it. */
+  std::string lastLines() const {
+    std::ifstream in(LogFile);
+    std::string before;
+    std::string last;
+    for (std::string line; std::getline(in, line);) {
+      before = std::exchange(last, line);
+    }
+    return before + " / " + last;
+  }
+
   static constexpr const char *Program = "target/platform/chivefold-sidecar";
   const std::string Callers, Readiness, Admin, Peers;
 
@@ -924,13 +937,13 @@
         Ledger("ledger", slots, work, bodyBytes),
         First(folder, Platform, Desk, limits),
         Second(folder, Platform, Ledger, limits) {
-    Platform.put("keyed.op", "config",
-                 configuration(
-                     {route("desk", "desk", true, timeoutMs, targetMs),
-                      route("ledger", "ledger", true, timeoutMs, targetMs),
-                      route("book", "desk", false, timeoutMs, targetMs),
-                      route("pay", "ledger", false, timeoutMs, targetMs)},
-                     {"desk", "ledger"}));
+    Platform.put(
+        "keyed.op", "config",
+        configuration({route("desk", "desk", true, timeoutMs, targetMs),
+                       route("ledger", "ledger", true, timeoutMs, targetMs),
+                       route("book", "desk", false, timeoutMs, targetMs),
+                       route("pay", "ledger", false, timeoutMs, targetMs)},
+                      {"desk", "ledger"}));
     First.start();
     Second.start();
     Desk.reportTo(First.Admin);
@@ -947,10 +960,10 @@
         require(eventually([&] {
                   static std::atomic<unsigned> n{0};
                   Message out;
-                  return exchange(daemon->Callers,
-                                  get(path, "warm-" + std::to_string(++n),
-                                      4000),
-                                  out) == 200;
+                  return exchange(
+                             daemon->Callers,
+                             get(path, "warm-" + std::to_string(++n), 4000),
+                             out) == 200;
                 }),
                 "an ordinary request is not served in calm");
       }
