--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,9 +1,11 @@
 #!/usr/bin/env bash
-# Builds the programs that the scripts of review/11 to review/15 start.
-set -eu
+# Builds the programs of the third review's scripts with their stand-ins, after
+# the build of deploy/system.toml. Needs g++, nlohmann-json3-dev and
+# libxxhash-dev, which that build declares.
+set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for file in review/1[1-5]/case.cpp; do
-  name="$(basename "$(dirname "$file")")"
-  "${CXX:-g++}" -std=c++17 -O1 -Wall -Wextra -pthread -o "target/review-3/case-$name" "$file"
+for source in review/*/scenario.cpp; do
+  n=$(basename "$(dirname "$source")")
+  g++ -std=c++17 -O1 -Wall -Wextra -pthread -o "target/review-3/scenario-$n" "$source"
 done
