Run callbacks of the HTTP client as tasks of the loop

Cause: HttpClient::start() promises that a callback runs later, from the loop, and kept that by a flag in start() alone. When a call ended, finish() gave its connection to the first waiting call and left that in the queue meanwhile. If the store had reset the connection behind its answer, the write failed at once, the waiting call ended inside the function that started it, and the queue was entered again with a call that was gone. A debugger at the throw shows Calls.at() < assign < runWaiting < finish < onFinished < HttpChannel::fail < assign < runWaiting < finish. Ruled out: the records of a new era (the client alone, without a store, ends alike), and a channel that is used after it was freed (AddressSanitizer reports none before the throw).

Change: what ends a call stores its outcome with it and schedules its callback as a task that the entry of the call owns. Waiting calls get connections from one task, which whatever frees a connection schedules. No function of the client runs a callback, none runs inside another, a destroyed client takes its tasks along, and the stack does not grow with the calls. A closed channel reports nothing. The header says what runs when.

--- a/include/chivefold/io/http_client.h
+++ b/include/chivefold/io/http_client.h
@@ -58,6 +58,17 @@
  * Runs HTTP calls concurrently and keeps idle connections for reuse. A request
  * is sent once: the client never repeats one by itself. Used on the reactor's
  * thread only.
+ *
+ * Each callback runs as a task of the loop by itself: never inside a function
+ * of the client, whatever the connections do meanwhile, and never inside
+ * another callback. It may therefore call any function of the client, and
+ * destroy it. A call that has ended keeps its outcome until its callback runs,
+ * even if its deadline passes.
+ *
+ * Calls that wait for a connection get one in the order of their start, from a
+ * task of the loop too. HttpCall::Accepts runs while a response is read and
+ * must not use the client; taking bytes of HttpCall::Rest may run a task of
+ * its producer, which may cancel calls.
  */
 class HttpClient {
 public:
@@ -79,19 +90,22 @@
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
 
-  /** Starts a call; @p done runs once, later, from the loop, unless cancelled.
-   */
+  /** Starts a call; @p done runs once, later, from the loop, unless the call is
+   * cancelled or the client destroyed before. A request that is not well-formed
+   * ends with InvalidArgument. */
   HttpCallId start(HttpCall call, Callback done);
 
   /** Changes the bound of open connections, idle ones included; at least 1.
    * Connections over a lower bound are closed as calls end. */
   void setMaxConnections(std::size_t max);
 
-  /** Aborts a call, closing its connection, without running its callback. */
+  /** Aborts a call, closing its connection, without running its callback. Does
+   * nothing for a call whose callback has run. */
   void cancel(HttpCallId id);
 
   /** Aborts a call like cancel(), unless a byte of its request may have reached
-   * the server. @return whether the call was aborted. */
+   * the server. @return whether the call was aborted, so that its callback does
+   * not run. */
   bool cancelUnsent(HttpCallId id);
 
   /** Closes all idle connections, for example when the server was replaced. */
--- a/src/io/http_channel.cpp
+++ b/src/io/http_channel.cpp
@@ -102,6 +102,7 @@
     ::close(Fd);
     Fd = -1;
   }
+  Busy = false;
   dropRest();
   Loop.cancel(ConnectTimer);
   ConnectTimer = TimerId::None;
@@ -191,6 +192,10 @@
   HasSent = HasSent || Written > 0;
   const auto kept = Rest;
   auto piece = kept->take(BodyStream::WindowBytes, Loop.now());
+  if (!isOpen()) {
+    // The producer has cancelled the call.
+    return false;
+  }
   Output = kept->length() ? std::move(piece) : chunkOf(piece);
   Written = 0;
   if (kept->isAtEnd()) {
@@ -345,7 +350,6 @@
 
 void HttpChannel::fail(ErrorCode code, std::string message) {
   const bool sent = sentAny();
-  Busy = false;
   close();
   Owner.onFinished(*this, {Reason{code, std::move(message)}, sent});
 }
--- a/src/io/http_channel.h
+++ b/src/io/http_channel.h
@@ -17,7 +17,9 @@
 
 class HttpChannel;
 
-/** What a channel reports, always from the loop. */
+/** What a channel reports: from the loop or inside exchange(), so that an owner
+ * must not act on it at once. A channel that its owner has closed reports
+ * nothing. */
 class HttpChannelOwner {
 public:
   virtual ~HttpChannelOwner() = default;
@@ -39,8 +41,10 @@
 
   /** Starts connecting. @return false if it failed at once. */
   bool connect();
-  /** Sends @p bytes, the whole request of @p call. Precondition: idle. */
+  /** Sends @p bytes, the whole request of @p call. Precondition: idle. The
+   * exchange may end before this returns, if the connection is broken. */
   void exchange(std::string bytes, const HttpCall &call);
+  /** Ends the exchange, too, without a report. */
   void close();
   bool isOpen() const { return Fd >= 0; }
   /** @return whether a byte of the current request was handed over. */
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -69,13 +69,21 @@
 
 } // namespace
 
+// Callbacks run only from deliver(), and waiting calls get their connections
+// only from assignWaiting(). Both are tasks of the loop: whatever ends a call
+// or frees a connection schedules them, so that neither runs while another
+// function of the client is at work.
 struct HttpClient::Impl : HttpChannelOwner {
   struct Entry {
     HttpCall Call;
     Target To;
     Callback Done;
+    /** Connection of a call in progress. */
     std::shared_ptr<HttpChannel> Channel;
+    /** Runs at the deadline or, for a call that has ended, delivers Outcome. */
     TimerId Timer = TimerId::None;
+    /** How the call ended; its callback has not run yet. */
+    std::optional<HttpOutcome> Outcome;
   };
 
   Impl(Reactor &r, std::size_t max) : Loop(r), MaxConnections(max) {}
@@ -83,6 +91,7 @@
     for (const auto &it : Calls) {
       Loop.cancel(it.second.Timer);
     }
+    Loop.cancel(Assignment);
     Loop.cancel(Sweep);
     for (const auto &it : Channels) {
       it->close();
@@ -91,14 +100,20 @@
   Impl(const Impl &) = delete;
   Impl &operator=(const Impl &) = delete;
 
-  void begin(std::uint64_t id);
+  void start(std::uint64_t id, HttpCall call);
   bool assign(std::uint64_t id);
   std::shared_ptr<HttpChannel> idleFor(const Entry &entry);
   bool makeRoom();
   void drop(HttpChannel &channel);
-  void finish(std::uint64_t id, HttpOutcome outcome);
+  void end(std::uint64_t id, HttpOutcome outcome);
+  void deliver(std::uint64_t id);
   void expire(std::uint64_t id);
-  void runWaiting();
+  void cancel(std::uint64_t id);
+  bool cancelUnsent(std::uint64_t id);
+  void setMaxConnections(std::size_t max);
+  void stopWaiting(std::uint64_t id);
+  void assignLater();
+  void assignWaiting();
   void sweep();
   void onFinished(HttpChannel &channel, HttpOutcome outcome) override;
   void onIdleClosed(HttpChannel &channel) override { drop(channel); }
@@ -108,11 +123,11 @@
   std::size_t MaxConnections;
   std::uint64_t NextCall = 0;
   std::unordered_map<std::uint64_t, Entry> Calls;
+  /** Calls without a connection, in the order of their start. */
   std::deque<std::uint64_t> Waiting;
   std::vector<std::shared_ptr<HttpChannel>> Channels;
+  TimerId Assignment = TimerId::None;
   TimerId Sweep = TimerId::None;
-  /** Inside start(), which must not run the callback. */
-  bool Starting = false;
 };
 
 std::shared_ptr<HttpChannel> HttpClient::Impl::idleFor(const Entry &entry) {
@@ -158,10 +173,29 @@
     // Freed in the next turn: the channel may be on the call stack.
     Loop.schedule(Loop.now(), [kept = *it] {});
     Channels.erase(it);
+    assignLater();
   }
 }
 
-// Gives the call a connection. @return false if it has to wait for one.
+void HttpClient::Impl::start(std::uint64_t id, HttpCall call) {
+  const auto target = parseUrl(call.Url);
+  if (!target || !isWellFormed(call, *target)) {
+    return end(id, {Reason{ErrorCode::InvalidArgument,
+                           "the request is not well-formed"},
+                    false});
+  }
+  auto &entry = Calls.at(id);
+  entry.To = *target;
+  entry.Call = std::move(call);
+  entry.Timer = Loop.schedule(entry.Call.Deadline, [this, id] { expire(id); });
+  // Those that wait already come first.
+  if (!Waiting.empty() || !assign(id)) {
+    Waiting.push_back(id);
+  }
+}
+
+// Gives the call a connection. The call may end by that. @return false if it
+// has to wait for one.
 bool HttpClient::Impl::assign(std::uint64_t id) {
   auto &entry = Calls.at(id);
   auto channel = entry.Call.FreshConnection ? nullptr : idleFor(entry);
@@ -171,10 +205,7 @@
     }
     channel = std::make_shared<HttpChannel>(Loop, *this, entry.To.Server);
     if (!channel->connect()) {
-      Loop.schedule(Loop.now(), [this, id] {
-        finish(id,
-               {Reason{ErrorCode::ConnectionFailed, "cannot connect"}, false});
-      });
+      end(id, {Reason{ErrorCode::ConnectionFailed, "cannot connect"}, false});
       return true;
     }
     Channels.push_back(channel);
@@ -187,12 +218,6 @@
   return true;
 }
 
-void HttpClient::Impl::begin(std::uint64_t id) {
-  if (Calls.count(id) > 0 && !assign(id)) {
-    Waiting.push_back(id);
-  }
-}
-
 void HttpClient::Impl::onFinished(HttpChannel &channel, HttpOutcome outcome) {
   const auto id = static_cast<std::uint64_t>(channel.User);
   channel.User = HttpCallId::None;
@@ -200,12 +225,8 @@
     drop(channel);
   }
   sweep();
-  if (!Starting) {
-    return finish(id, std::move(outcome));
-  }
-  auto later = std::make_shared<HttpOutcome>(std::move(outcome));
-  Loop.schedule(Loop.now(),
-                [this, id, later] { finish(id, std::move(*later)); });
+  assignLater();
+  end(id, std::move(outcome));
 }
 
 // One large response does not take the memory of all others.
@@ -223,34 +244,89 @@
   }
 }
 
-void HttpClient::Impl::finish(std::uint64_t id, HttpOutcome outcome) {
+// Ends a call that is not in the queue. Its callback runs later, from the loop.
+void HttpClient::Impl::end(std::uint64_t id, HttpOutcome outcome) {
   const auto it = Calls.find(id);
-  if (it != Calls.end()) {
-    const auto done = std::move(it->second.Done);
-    Loop.cancel(it->second.Timer);
-    Calls.erase(it);
-    runWaiting();
-    done(std::move(outcome));
+  if (it == Calls.end()) {
+    return;
   }
+  auto &entry = it->second;
+  entry.Channel.reset();
+  entry.Outcome = std::move(outcome);
+  Loop.cancel(entry.Timer);
+  entry.Timer = Loop.schedule(Loop.now(), [this, id] { deliver(id); });
+}
+
+// The callback may destroy the client.
+void HttpClient::Impl::deliver(std::uint64_t id) {
+  const auto ended = Calls.extract(id);
+  ended.mapped().Done(std::move(*ended.mapped().Outcome));
 }
 
 void HttpClient::Impl::expire(std::uint64_t id) {
-  const auto it = Calls.find(id);
-  if (it == Calls.end()) {
-    return;
-  }
   bool sent = false;
-  if (const auto channel = it->second.Channel) {
+  if (const auto channel = Calls.at(id).Channel) {
     sent = channel->sentAny();
     drop(*channel);
   }
+  stopWaiting(id);
+  end(id, {Reason{ErrorCode::DeadlineExceeded, "deadline passed"}, sent});
+}
+
+void HttpClient::Impl::cancel(std::uint64_t id) {
+  const auto cancelled = Calls.extract(id);
+  if (cancelled.empty()) {
+    return;
+  }
+  Loop.cancel(cancelled.mapped().Timer);
+  stopWaiting(id);
+  if (const auto &channel = cancelled.mapped().Channel) {
+    drop(*channel);
+  }
+}
+
+bool HttpClient::Impl::cancelUnsent(std::uint64_t id) {
+  const auto it = Calls.find(id);
+  if (it == Calls.end()) {
+    return false;
+  }
+  const auto &entry = it->second;
+  const bool mayHaveRun = entry.Outcome
+                              ? entry.Outcome->MayHaveRun
+                              : entry.Channel && entry.Channel->sentAny();
+  if (!mayHaveRun) {
+    cancel(id);
+  }
+  return !mayHaveRun;
+}
+
+void HttpClient::Impl::setMaxConnections(std::size_t max) {
+  MaxConnections = std::max<std::size_t>(max, 1);
+  while (Channels.size() > MaxConnections && makeRoom()) {
+  }
+}
+
+void HttpClient::Impl::stopWaiting(std::uint64_t id) {
   Waiting.erase(std::remove(Waiting.begin(), Waiting.end(), id), Waiting.end());
-  finish(id, {Reason{ErrorCode::DeadlineExceeded, "deadline passed"}, sent});
 }
 
-void HttpClient::Impl::runWaiting() {
-  while (!Waiting.empty() && assign(Waiting.front())) {
+void HttpClient::Impl::assignLater() {
+  if (Assignment == TimerId::None && !Waiting.empty()) {
+    Assignment = Loop.schedule(Loop.now(), [this] {
+      Assignment = TimerId::None;
+      assignWaiting();
+    });
+  }
+}
+
+void HttpClient::Impl::assignWaiting() {
+  while (!Waiting.empty()) {
+    const auto id = Waiting.front();
     Waiting.pop_front();
+    if (!assign(id)) {
+      Waiting.push_front(id);
+      return;
+    }
   }
 }
 
@@ -281,61 +357,21 @@
 
 HttpCallId HttpClient::start(HttpCall call, Callback done) {
   const auto id = ++State->NextCall;
-  auto &entry = State->Calls[id];
-  entry.Done = std::move(done);
-  const auto target = parseUrl(call.Url);
-  if (!target || !isWellFormed(call, *target)) {
-    entry.Timer = State->Loop.schedule(State->Loop.now(), [this, id] {
-      State->finish(id, {Reason{ErrorCode::InvalidArgument,
-                                "the request is not well-formed"},
-                         false});
-    });
-    return static_cast<HttpCallId>(id);
-  }
-  entry.To = *target;
-  entry.Call = std::move(call);
-  entry.Timer = State->Loop.schedule(entry.Call.Deadline,
-                                     [this, id] { State->expire(id); });
-  State->Starting = true;
-  State->begin(id);
-  State->Starting = false;
+  State->Calls[id].Done = std::move(done);
+  State->start(id, std::move(call));
   return static_cast<HttpCallId>(id);
 }
 
 void HttpClient::setMaxConnections(std::size_t max) {
-  State->MaxConnections = std::max<std::size_t>(max, 1);
-  while (State->Channels.size() > State->MaxConnections && State->makeRoom()) {
-  }
+  State->setMaxConnections(max);
 }
 
 void HttpClient::cancel(HttpCallId id) {
-  const auto raw = static_cast<std::uint64_t>(id);
-  const auto it = State->Calls.find(raw);
-  if (it == State->Calls.end()) {
-    return;
-  }
-  if (it->second.Channel) {
-    State->drop(*it->second.Channel);
-  }
-  State->Loop.cancel(it->second.Timer);
-  State->Waiting.erase(
-      std::remove(State->Waiting.begin(), State->Waiting.end(), raw),
-      State->Waiting.end());
-  State->Calls.erase(it);
-  State->runWaiting();
+  State->cancel(static_cast<std::uint64_t>(id));
 }
 
 bool HttpClient::cancelUnsent(HttpCallId id) {
-  const auto it = State->Calls.find(static_cast<std::uint64_t>(id));
-  if (it == State->Calls.end()) {
-    return false;
-  }
-  const auto &channel = it->second.Channel;
-  if (channel && channel->sentAny()) {
-    return false;
-  }
-  cancel(id);
-  return true;
+  return State->cancelUnsent(static_cast<std::uint64_t>(id));
 }
 
 void HttpClient::closeIdle() {
--- a/tests/edge/loopback.cpp
+++ b/tests/edge/loopback.cpp
@@ -134,6 +134,12 @@
   return true;
 }
 
+std::string encode(const HttpMessage &message) {
+  return message.Start + "\r\n" + message.Headers +
+         "Content-Length: " + std::to_string(message.Body.size()) + "\r\n\r\n" +
+         message.Body;
+}
+
 bool HttpReader::fill() {
   std::array<char, 65536> buf{};
   const auto n = recv(Fd, buf.data(), buf.size(), 0);
@@ -203,11 +209,7 @@
     HttpReader in(fd);
     HttpMessage request;
     while (in.read(request, keepBodies)) {
-      const auto answer = handler(request);
-      if (!sendAll(fd,
-                   answer.Start + "\r\n" + answer.Headers +
-                       "Content-Length: " + std::to_string(answer.Body.size()) +
-                       "\r\n\r\n" + answer.Body)) {
+      if (!sendAll(fd, encode(handler(request)))) {
         break;
       }
     }
--- a/tests/edge/loopback.h
+++ b/tests/edge/loopback.h
@@ -42,6 +42,9 @@
 
 bool sendAll(int fd, const std::string &bytes);
 
+/** @return the bytes of a message, with the length of its body. */
+std::string encode(const HttpMessage &message);
+
 /** Reads HTTP messages whose bodies have a length. */
 class HttpReader {
 public:
--- a/tests/edge/platform_lab.cpp
+++ b/tests/edge/platform_lab.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <functional>
 #include <sstream>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -49,10 +50,29 @@
   return out;
 }
 
+/** @return something else in place of the body of an answer, in turn. */
+std::string garbled(const std::string &body, unsigned turn) {
+  switch (turn % 6) {
+  case 0:
+    return body.substr(0, body.size() / 2);
+  case 1:
+    return body + body;
+  case 2:
+    return R"({"items":[{"key":7},{"key":"a"},null],"endOffset":1e99})";
+  case 3:
+    return R"({"items":[],"endOffset":-1,"offset":"x"})";
+  case 4:
+    return std::string(body.size() + 1, '\xff');
+  default:
+    return "[]";
+  }
+}
+
 } // namespace
 
 std::string configuration(const HostLimits &limits,
-                          const std::vector<std::string> &services) {
+                          const std::vector<std::string> &services,
+                          unsigned version) {
   Json routes = Json::array();
   Json all = Json::array();
   for (const auto &it : services) {
@@ -73,7 +93,7 @@
                    {"warmupS", 0.1},
                    {"warmupRpsS", 100.0}});
   }
-  return Json{{"version", "r1"},
+  return Json{{"version", "r" + std::to_string(version)},
               {"routes", routes},
               {"services", all},
               {"limits",
@@ -104,15 +124,48 @@
 
 std::string Store::start() {
   auto address = freeAddress();
-  serve(address, true, [this](const HttpMessage &request) {
-    auto out = answer(request);
-    const std::lock_guard<std::mutex> lock(Mutex);
-    out.Headers += "Store-Era: " + std::to_string(Era) + "\r\n";
-    return out;
-  });
+  serveConnections(address, [this](int fd) { serveConnection(fd); });
   return address;
 }
 
+void Store::serveConnection(int fd) {
+  const linger reset{1, 0};
+  HttpReader in(fd);
+  HttpMessage request;
+  while (in.read(request)) {
+    auto out = answer(request);
+    const auto fault = drawFault();
+    if (fault == StoreFault::Silence) {
+      continue;
+    }
+    if (fault == StoreFault::Garbage) {
+      out.Body = garbled(out.Body, Garbled++);
+    }
+    const auto bytes = encode(out);
+    const auto n = fault == StoreFault::ResetBefore   ? 0
+                   : fault == StoreFault::ResetWithin ? bytes.size() / 2
+                                                      : bytes.size();
+    const bool isSent = sendAll(fd, bytes.substr(0, n));
+    if (fault == StoreFault::ResetBehind || n < bytes.size()) {
+      setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+      return;
+    }
+    if (!isSent) {
+      return;
+    }
+  }
+}
+
+StoreFault Store::drawFault() {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  return Faults ? Faults() : StoreFault::None;
+}
+
+void Store::setFaults(FaultSource faults) {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  Faults = std::move(faults);
+}
+
 void Store::setAway(bool isAway) {
   const std::lock_guard<std::mutex> lock(Mutex);
   IsAway = isAway;
@@ -139,9 +192,16 @@
 }
 
 HttpMessage Store::answer(const HttpMessage &request) {
+  std::unique_lock<std::mutex> lock(Mutex);
+  auto out = answerLocked(request, lock);
+  out.Headers += "Store-Era: " + std::to_string(Era) + "\r\n";
+  return out;
+}
+
+HttpMessage Store::answerLocked(const HttpMessage &request,
+                                std::unique_lock<std::mutex> &lock) {
   const auto target = request.target();
   const auto topic = queryValue(target, "topic");
-  std::unique_lock<std::mutex> lock(Mutex);
   if (IsAway) {
     return {"HTTP/1.1 503 X", JsonHead, "{}"};
   }
--- a/tests/edge/platform_lab.h
+++ b/tests/edge/platform_lab.h
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -20,9 +21,25 @@
 
 namespace edge {
 
+/** What becomes of a call of the store. Calls take effect all the same. */
+enum class StoreFault : std::uint8_t {
+  None,
+  /** The connection is reset before, within or behind the answer. */
+  ResetBefore,
+  ResetWithin,
+  ResetBehind,
+  /** There is no answer, and the connection stays open. */
+  Silence,
+  /** The answer has another body. */
+  Garbage
+};
+
 /** The platform's store: keyed topics of one partition. Thread-safe. */
 class Store {
 public:
+  /** Draws the fault of a call. */
+  using FaultSource = std::function<StoreFault()>;
+
   /** Listens and serves until the process ends. @return the address. */
   std::string start();
   void put(const std::string &topic, const std::string &key,
@@ -37,9 +54,15 @@
   Records copy();
   /** Comes back from an older copy, in a new era. */
   void restore(Records copy);
+  /** Asks @p faults at each call, one at a time; empty for none. */
+  void setFaults(FaultSource faults);
 
 private:
+  void serveConnection(int fd);
+  StoreFault drawFault();
   HttpMessage answer(const HttpMessage &request);
+  HttpMessage answerLocked(const HttpMessage &request,
+                           std::unique_lock<std::mutex> &lock);
   HttpMessage append(const std::string &topic, const HttpMessage &request);
   HttpMessage read(const std::string &target, std::vector<Item> &items,
                    std::unique_lock<std::mutex> &lock);
@@ -49,6 +72,8 @@
   Records Topics;
   unsigned Era = 0;
   bool IsAway = false;
+  FaultSource Faults;
+  std::atomic<unsigned> Garbled{0};
 };
 
 /** What a test states about its host and its clients. */
@@ -82,7 +107,8 @@
 /** @return a configuration with a route "/SERVICE/" to each of the services.
  */
 std::string configuration(const HostLimits &limits,
-                          const std::vector<std::string> &services);
+                          const std::vector<std::string> &services,
+                          unsigned version = 1);
 
 /** Tries for the time that a process may take to start. @return whether the
  * condition held once. */
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -1,57 +1,11 @@
-#include "chivefold/io/http_client.h"
-
-#include "raw_socket.h"
+#include "http_client_fixture.h"
 
 #include <algorithm>
 #include <atomic>
-#include <catch2/catch.hpp>
-#include <thread>
 #include <vector>
 
 using namespace chivefold;
 
-namespace {
-
-struct ClientFixture {
-  Reactor Loop;
-  RawSocket Listener = RawSocket::listening();
-  std::unique_ptr<HttpClient> Client = std::make_unique<HttpClient>(Loop, 2);
-
-  HttpCall call(bool fresh = false) {
-    HttpCall c;
-    c.Method = "POST";
-    c.Url = "http://" + toString(Listener.address()) + "/x";
-    c.Body = "work";
-    c.Deadline = Loop.now() + std::chrono::seconds(20);
-    c.FreshConnection = fresh;
-    return c;
-  }
-
-  HttpOutcome finish(HttpCall c) {
-    std::optional<HttpOutcome> out;
-    Client->start(std::move(c), [&](HttpOutcome o) { out = std::move(o); });
-    CHECK_FALSE(out.has_value());
-    REQUIRE(runUntil(Loop, [&] { return out.has_value(); }));
-    return std::move(*out);
-  }
-
-  // Answers one request on a new connection with raw bytes.
-  HttpOutcome finishWith(const std::string &raw) {
-    std::thread server([&] {
-      const auto s = Listener.accepted();
-      s.readUntil("work");
-      s.write(raw);
-    });
-    auto out = finish(call());
-    server.join();
-    return out;
-  }
-};
-
-const std::string Ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-
-} // namespace
-
 // Guards against a cut-off or unbounded response that is taken as complete,
 // and against a redirect that is followed.
 TEST_CASE("only complete responses are returned", "[http_client]") {
@@ -120,7 +74,7 @@
     std::thread server([&] {
       auto s = f.Listener.accepted();
       receive(s);
-      s.write(Ok);
+      s.write(OkResponse);
       std::thread reused([&] {
         receive(s);
         s.reset();
@@ -311,7 +265,7 @@
       connections.emplace_back([&, s] {
         while (!s->readUntil("work").empty()) {
           ++served;
-          s->write(Ok);
+          s->write(OkResponse);
         }
       });
     }
