Start waiting calls when the bound of connections is raised

Calls waited for the end of another one although a raised bound allowed them a connection: a backend server that reports more slots while its calls hang gets no further call, and those that the gate has admitted expire. Found by reading the users of the client's queue; no caller was seen to suffer.

Cause: calls left the queue only when another call ended.

setMaxConnections() schedules the assignment of connections like everything that frees one. "a raised bound starts the calls that wait" failed on (0 of 2 calls answered by their deadline) and holds now.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -304,6 +304,7 @@
   MaxConnections = std::max<std::size_t>(max, 1);
   while (Channels.size() > MaxConnections && makeRoom()) {
   }
+  assignLater();
 }
 
 void HttpClient::Impl::stopWaiting(std::uint64_t id) {
--- a/tests/unit/http_client_callback_test.cpp
+++ b/tests/unit/http_client_callback_test.cpp
@@ -2,6 +2,7 @@
 #include "http_client_fixture.h"
 
 #include <algorithm>
+#include <atomic>
 #include <vector>
 
 using namespace chivefold;
@@ -163,3 +164,32 @@
   runUntil(f.Loop, [&] { return f.Loop.now() >= end; });
   CHECK(ended == 1);
 }
+
+// Guards against a call that waits on until another one ends, although a raised
+// bound allows it a connection.
+TEST_CASE("a raised bound starts the calls that wait", "[http_client]") {
+  ClientFixture f;
+  f.Client->setMaxConnections(1);
+  std::atomic<bool> isSecondOpen{false};
+  std::thread server([&] {
+    const auto first = f.Listener.accepted();
+    const auto second = f.Listener.accepted();
+    isSecondOpen = second.isOpen();
+    for (const auto *it : {&first, &second}) {
+      it->readUntil("work");
+      it->write(OkResponse);
+    }
+  });
+  EndCounter ends(2);
+  auto call = f.call();
+  call.Deadline = f.Loop.now() + std::chrono::seconds(5);
+  f.Client->start(call, ends.callback(0));
+  f.Client->start(call, ends.callback(1));
+  f.Client->setMaxConnections(2);
+  CHECK(runUntil(f.Loop, [&] { return ends.allEnded(); }));
+  f.Client.reset();
+  f.Listener.shutDown();
+  server.join();
+  CHECK(isSecondOpen);
+  CHECK(ends.Answered == 2);
+}
