Close all idle connections over a lowered bound

A backend server that takes fewer connections than before kept the idle ones of the daemon beside it for up to 8 s and may reset those beyond its bound. Found by reading; no caller was seen to suffer.

Cause: setMaxConnections() went on closing only while there was room for one more connection, which there is not above the bound, so that it closed one.

Idle connections are closed one after another until the bound holds. "a lowered bound closes all idle connections over it" failed on (1 of 3 closed) and holds now.

--- a/include/chivefold/io/http_client.h
+++ b/include/chivefold/io/http_client.h
@@ -96,8 +96,8 @@
   HttpCallId start(HttpCall call, Callback done);
 
   /** Changes the bound of open connections, idle ones included; at least 1.
-   * Connections over a lower bound are closed as calls end; a higher bound lets
-   * calls start that wait. */
+   * Idle connections over a lower bound are closed, the others as their calls
+   * end; a higher bound lets calls start that wait. */
   void setMaxConnections(std::size_t max);
 
   /** Aborts a call, closing its connection, without running its callback. Does
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -103,6 +103,7 @@
   void start(std::uint64_t id, HttpCall call);
   bool assign(std::uint64_t id);
   std::shared_ptr<HttpChannel> idleFor(const Entry &entry);
+  bool dropOldestIdle();
   bool makeRoom();
   void drop(HttpChannel &channel);
   void end(std::uint64_t id, HttpOutcome outcome);
@@ -145,11 +146,9 @@
   return best;
 }
 
-// Closes the idle connection that was used least recently if all are open.
-bool HttpClient::Impl::makeRoom() {
-  if (Channels.size() < MaxConnections) {
-    return true;
-  }
+// Closes the idle connection that was used least recently. @return false if
+// there is none.
+bool HttpClient::Impl::dropOldestIdle() {
   std::shared_ptr<HttpChannel> oldest;
   for (const auto &it : Channels) {
     if (it->User == HttpCallId::None &&
@@ -157,10 +156,17 @@
       oldest = it;
     }
   }
-  if (!oldest) {
-    return false;
+  if (oldest) {
+    drop(*oldest);
+  }
+  return oldest != nullptr;
+}
+
+// Closes idle connections until one more may be opened. @return false if calls
+// use all that are allowed.
+bool HttpClient::Impl::makeRoom() {
+  while (Channels.size() >= MaxConnections && dropOldestIdle()) {
   }
-  drop(*oldest);
   return Channels.size() < MaxConnections;
 }
 
@@ -302,7 +308,7 @@
 
 void HttpClient::Impl::setMaxConnections(std::size_t max) {
   MaxConnections = std::max<std::size_t>(max, 1);
-  while (Channels.size() > MaxConnections && makeRoom()) {
+  while (Channels.size() > MaxConnections && dropOldestIdle()) {
   }
   assignLater();
 }
--- a/tests/unit/http_client_callback_test.cpp
+++ b/tests/unit/http_client_callback_test.cpp
@@ -193,3 +193,18 @@
   CHECK(isSecondOpen);
   CHECK(ends.Answered == 2);
 }
+
+// Guards against idle connections over a lowered bound, of which only one was
+// closed: a backend server gets more connections than it bears.
+TEST_CASE("a lowered bound closes all idle connections over it",
+          "[http_client]") {
+  constexpr std::size_t connections = 4;
+  ClientFixture f;
+  f.Client->setMaxConnections(connections);
+  EndCounter ends(connections);
+  const auto open = serveEach(f, connections, ends);
+  f.Client->setMaxConnections(1);
+  CHECK(std::count_if(open.begin(), open.end(), [](const auto &it) {
+          return it.peerClosed();
+        }) == connections - 1);
+}
