Fail a call at once whose connection cannot be watched

A call whose descriptor the reactor refused to watch (epoll_ctl fails when the system has no room) waited for its deadline, held one of the client's connections, and ended as timed out. Found by following each way on which a connection calls its owner from inside a call of the owner; no caller was seen to suffer.

Cause: HttpChannel::connect() reported the end of a call that it did not have yet and returned success, so that the closed channel was given the call. DescriptorWatch took refused events for watched ones.

connect() fails, and the call ends at once as certainly not sent. "a connection that cannot be watched fails its call at once" failed on (deadline exceeded after 2 s) and holds now.

--- a/src/io/descriptor_watch.h
+++ b/src/io/descriptor_watch.h
@@ -23,7 +23,8 @@
   DescriptorWatch(const DescriptorWatch &) = delete;
   DescriptorWatch &operator=(const DescriptorWatch &) = delete;
 
-  /** Replaces the watched events. @return false if the reactor refuses. */
+  /** Replaces the watched events. @return false if the reactor refuses; then
+   * none are watched. */
   bool watch(ACE_Reactor_Mask mask) {
     if (mask == Mask) {
       return true;
@@ -31,9 +32,10 @@
     if (Mask != NULL_MASK) {
       reactor()->remove_handler(Fd, ALL_EVENTS_MASK | DONT_CALL);
     }
-    Mask = mask;
-    return mask == NULL_MASK ||
-           reactor()->register_handler(Fd, this, mask) == 0;
+    const bool isWatched =
+        mask != NULL_MASK && reactor()->register_handler(Fd, this, mask) == 0;
+    Mask = isWatched ? mask : static_cast<ACE_Reactor_Mask>(NULL_MASK);
+    return isWatched || mask == NULL_MASK;
   }
 
   ACE_HANDLE get_handle() const override { return Fd; }
--- a/src/io/http_channel.cpp
+++ b/src/io/http_channel.cpp
@@ -88,11 +88,14 @@
   Connecting = true;
   Watch = std::make_unique<DescriptorWatch>(
       Loop.ace(), Fd, [this](ACE_Reactor_Mask mask) { onReady(mask); });
+  if (!Watch->watch(ACE_Event_Handler::WRITE_MASK)) {
+    close();
+    return false;
+  }
   ConnectTimer = Loop.schedule(Loop.now() + HttpClient::ConnectTimeout, [this] {
     ConnectTimer = TimerId::None;
     fail(ErrorCode::ConnectionFailed, "connecting took too long");
   });
-  updateWatch();
   return true;
 }
 
@@ -210,9 +213,7 @@
     return;
   }
   ACE_Reactor_Mask mask = ACE_Event_Handler::READ_MASK;
-  if (Connecting) {
-    mask = ACE_Event_Handler::WRITE_MASK;
-  } else if (Written < Output.size()) {
+  if (Written < Output.size()) {
     mask |= ACE_Event_Handler::WRITE_MASK;
   }
   if (!Watch->watch(mask)) {
--- a/src/io/http_channel.h
+++ b/src/io/http_channel.h
@@ -39,7 +39,8 @@
   HttpChannel(const HttpChannel &) = delete;
   HttpChannel &operator=(const HttpChannel &) = delete;
 
-  /** Starts connecting. @return false if it failed at once. */
+  /** Starts connecting. @return false if it failed at once, or the reactor
+   * cannot watch the descriptor; nothing is reported then. */
   bool connect();
   /** Sends @p bytes, the whole request of @p call. Precondition: idle. The
    * exchange may end before this returns, if the connection is broken. */
--- a/tests/unit/http_client_callback_test.cpp
+++ b/tests/unit/http_client_callback_test.cpp
@@ -1,5 +1,6 @@
 // When callbacks run, and when waiting calls get a connection.
 #include "http_client_fixture.h"
+#include "refused_descriptor.h"
 
 #include <algorithm>
 #include <atomic>
@@ -208,3 +209,21 @@
           return it.peerClosed();
         }) == connections - 1);
 }
+
+// Guards against a call that holds a connection until its deadline although the
+// reactor cannot watch its descriptor, and then counts as timed out.
+TEST_CASE("a connection that cannot be watched fails its call at once",
+          "[http_client]") {
+  ClientFixture f;
+  {
+    const UnwatchableDescriptors taken;
+    auto call = f.call();
+    call.Deadline = f.Loop.now() + std::chrono::seconds(2);
+    const auto out = f.finish(call);
+    CHECK(out.Response.reason().Code == ErrorCode::ConnectionFailed);
+    CHECK_FALSE(out.MayHaveRun);
+  }
+  // Closed by the client.
+  const auto dead = f.Listener.accepted();
+  CHECK(f.finishWith(OkResponse).Response);
+}
--- a/tests/unit/raw_socket.h
+++ b/tests/unit/raw_socket.h
@@ -110,6 +110,8 @@
     return n == 0 || (n < 0 && errno == ECONNRESET);
   }
   bool isOpen() const { return Fd >= 0; }
+  /** @return the number of the descriptor. */
+  int number() const { return Fd; }
   /** @return whether there are bytes to read. */
   bool hasInput() const {
     char byte = 0;
--- /dev/null
+++ b/tests/unit/refused_descriptor.h
@@ -0,0 +1,45 @@
+/**
+ * @file
+ * Descriptors that a reactor refuses to watch.
+ */
+#ifndef CHIVEFOLD_TESTS_REFUSED_DESCRIPTOR_H
+#define CHIVEFOLD_TESTS_REFUSED_DESCRIPTOR_H
+
+#include "raw_socket.h"
+
+#include <catch2/catch.hpp>
+#include <fcntl.h>
+#include <memory>
+#include <sys/resource.h>
+#include <vector>
+
+namespace chivefold {
+
+/** Takes all descriptors that a reactor can watch and that are free, so that
+ * the next one is refused. */
+class UnwatchableDescriptors {
+public:
+  /** The reactor's bound, to which it sets that of the process. */
+  static constexpr int Watchable = 4096;
+
+  UnwatchableDescriptors() {
+    getrlimit(RLIMIT_NOFILE, &Before);
+    auto raised = Before;
+    raised.rlim_cur = Watchable + 64;
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &raised) == 0);
+    do {
+      Taken.push_back(std::make_unique<RawSocket>(open("/dev/null", O_RDONLY)));
+    } while (Taken.back()->number() < Watchable - 1);
+  }
+  ~UnwatchableDescriptors() { setrlimit(RLIMIT_NOFILE, &Before); }
+  UnwatchableDescriptors(const UnwatchableDescriptors &) = delete;
+  UnwatchableDescriptors &operator=(const UnwatchableDescriptors &) = delete;
+
+private:
+  rlimit Before{};
+  std::vector<std::unique_ptr<RawSocket>> Taken;
+};
+
+} // namespace chivefold
+
+#endif
