Close a connection that cannot be watched in the next turn

Taking a part of a request's body lets the client's connection read on. If the reactor refused to watch it, it was closed inside that call, and its request was abandoned while the consumer of its body was at work: PeerBodies::pump() and BackendService::send() went on with an entry that was gone. By reading; no process was seen to end.

The connection is closed by a task of the loop, so that taking bytes runs no callback of a request. "a connection that cannot be watched again ends in the next turn" failed on (abandoned inside take()) and holds now.

--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -422,10 +422,20 @@
     mask |= ACE_Event_Handler::WRITE_MASK;
   }
   if (!Watch->watch(mask)) {
-    shut();
+    shutLater();
   }
 }
 
+// Closes in the next turn: this call may come from one that takes the body of a
+// request, which would end inside it.
+void HttpConnection::shutLater() {
+  Loop.schedule(Loop.now(), [weak = weak_from_this()] {
+    if (const auto open = weak.lock()) {
+      open->shut();
+    }
+  });
+}
+
 // Sets the timer for the next way in which the caller may be too slow. An
 // earlier timer stays and finds out when it fires.
 void HttpConnection::arm() {
--- a/src/io/http_connection.h
+++ b/src/io/http_connection.h
@@ -108,6 +108,7 @@
   void updateShare();
   void parseLater();
   void updateWatch();
+  void shutLater();
   void arm();
   void onTimer();
   void onBodyTimer(TimePoint now);
--- a/tests/unit/long_body_test.cpp
+++ b/tests/unit/long_body_test.cpp
@@ -1,5 +1,6 @@
 #include "backend_fixture.h"
 #include "chivefold/io/http_server.h"
+#include "refused_descriptor.h"
 #include "sidecar_lab.h"
 
 #include <catch2/catch.hpp>
@@ -160,6 +161,27 @@
   CHECK(runUntil(f.Loop, [&] { return f.Abandoned == 1; }));
 }
 
+// Guards against a request that ends inside the call that takes its body, whose
+// consumer then went on with what it had freed: the reactor could not watch the
+// client's connection again.
+TEST_CASE("a connection that cannot be watched again ends in the next turn",
+          "[long_body]") {
+  StreamingServer f;
+  f.Limits.IdleTimeout = seconds(30);
+  f.Limits.HeaderTimeout = seconds(30);
+  f.Server.setLimits(f.Limits);
+  const auto client = f.post(10 * Part);
+  client.write(std::string(2 * Part, 'b'));
+  f.pass(milliseconds(50));
+  const auto rest = f.Open[0]->request().Rest;
+  REQUIRE(rest->isFull());
+  makeUnwatchable(client);
+  rest->take(2 * Part, f.Loop.now());
+  CHECK(f.Abandoned == 0);
+  CHECK(runUntil(f.Loop, [&] { return f.Abandoned == 1; }));
+  CHECK(client.atEnd());
+}
+
 // The load: a client stops in mid-body at a server with few slots.
 TEST_CASE("a body that does not get on loses its slot to a waiting call",
           "[long_body]") {
--- a/tests/unit/refused_descriptor.h
+++ b/tests/unit/refused_descriptor.h
@@ -40,6 +40,23 @@
   std::vector<std::unique_ptr<RawSocket>> Taken;
 };
 
+/** Puts a file that cannot be watched in the place of the socket in this
+ * process that is connected to @p client. */
+inline void makeUnwatchable(const RawSocket &client) {
+  const auto wanted = client.address().Port;
+  for (int fd = 0; fd < UnwatchableDescriptors::Watchable; ++fd) {
+    sockaddr_in peer{};
+    socklen_t n = sizeof(peer);
+    if (getpeername(fd, reinterpret_cast<sockaddr *>(&peer), &n) == 0 &&
+        peer.sin_family == AF_INET && ntohs(peer.sin_port) == wanted) {
+      const RawSocket file(open("/dev/null", O_RDONLY));
+      dup2(file.number(), fd);
+      return;
+    }
+  }
+  FAIL("no socket is connected to the client");
+}
+
 } // namespace chivefold
 
 #endif
