Drop queued calls of callers that left without recursion

The stack of a daemon grew with the queue of its server's gate: a place that became free was given to a call whose caller had left, which freed it again inside the same function. 200 such calls took 51 kB of stack. The queue is bounded by the slots that the server states, and those by nothing. Found by looking for the class of the HTTP client's callbacks; no process was seen to end.

A nested runWaiting() only notes that there is room again, and the outer one goes on until there is none. "queued calls whose callers left are dropped one after another" failed on (50,944 bytes between the frames, 1,024 allowed) and holds now.

--- a/include/chivefold/sidecar/backend_service.h
+++ b/include/chivefold/sidecar/backend_service.h
@@ -234,6 +234,7 @@
   void refuseUnservable();
   void refuseUnsent(BackendCallId id);
   void runWaiting();
+  void startAdmitted(BackendCallId id);
   void armTimer();
   std::size_t openBodies() const;
   bool admitsBody(const CallMessage &call);
@@ -294,6 +295,10 @@
   /** The server does not respond; no calls are sent until its next report. */
   bool Unresponsive = false;
   bool Leaving = false;
+  /** Inside runWaiting(). */
+  bool IsStarting = false;
+  /** Queued calls may start that could not before. */
+  bool HasNewRoom = false;
   std::uint32_t UnansweredCalls = 0;
   TimePoint AnsweredAt{};
   /** When a call was last sent, or this daemon started. */
--- a/src/sidecar/backend_admission.cpp
+++ b/src/sidecar/backend_admission.cpp
@@ -1,6 +1,8 @@
 // Admission of calls at the backend server's gate, and those that wait there.
 #include "chivefold/sidecar/backend_service.h"
 
+#include <utility>
+
 namespace chivefold {
 
 // Whether the daemon where the call began, or this one, checks keys.
@@ -162,26 +164,44 @@
   refuse(reply, code, gate().LimitWait);
 }
 
+// Starts the queued calls for which there is room. A call whose caller has left
+// makes room for the next one: a nested call leaves that to the outer one, so
+// that the depth of the stack does not grow with the queue.
 void BackendService::runWaiting() {
-  const auto now = Loop.now();
-  drop(Gate.expire(now), ErrorCode::DeadlineExceeded);
-  for (const auto id : Gate.start(now)) {
-    const auto it = Calls.find(id);
-    if (it == Calls.end()) {
-      continue;
-    }
-    const auto isCallerWaiting = it->second.IsCallerWaiting;
-    if (isCallerWaiting && !isCallerWaiting()) {
-      cancel(id);
-    }
-    refuseUnsent(id);
-    if (Calls.count(id) > 0) {
-      send(id);
+  HasNewRoom = true;
+  if (IsStarting) {
+    return;
+  }
+  IsStarting = true;
+  while (std::exchange(HasNewRoom, false)) {
+    const auto now = Loop.now();
+    drop(Gate.expire(now), ErrorCode::DeadlineExceeded);
+    for (const auto id : Gate.start(now)) {
+      startAdmitted(id);
     }
   }
+  IsStarting = false;
   armTimer();
 }
 
+// Sends a call that has left the queue, unless its caller has left or it can no
+// longer be served.
+void BackendService::startAdmitted(BackendCallId id) {
+  const auto it = Calls.find(id);
+  if (it == Calls.end()) {
+    return;
+  }
+  // May run other handlers, which may end the call.
+  const auto isCallerWaiting = it->second.IsCallerWaiting;
+  if (isCallerWaiting && !isCallerWaiting()) {
+    cancel(id);
+  }
+  refuseUnsent(id);
+  if (Calls.count(id) > 0) {
+    send(id);
+  }
+}
+
 void BackendService::armTimer() {
   const auto next = Gate.nextWakeUp(Loop.now());
   if (!next) {
--- a/tests/unit/backend_service_test.cpp
+++ b/tests/unit/backend_service_test.cpp
@@ -1,5 +1,6 @@
 #include "backend_fixture.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <thread>
 
@@ -353,3 +354,36 @@
   CHECK(f.Backend.server().Instance == "i");
   CHECK(f.Backend.gate().Limit > 0);
 }
+
+// Guards against a stack that grows with the queue: each call whose caller had
+// left was dropped inside the call that dropped the one before it.
+TEST_CASE("queued calls whose callers left are dropped one after another",
+          "[backend]") {
+  constexpr std::uint32_t slots = 64;
+  constexpr std::size_t queued = 200;
+  constexpr std::ptrdiff_t maxDepthBytes = 1024;
+  BackendFixture f;
+  f.configure();
+  auto report = f.report("i", 10, 1);
+  report.State.Slots = slots;
+  REQUIRE(f.Backend.report(report));
+  std::vector<BackendCallId> running;
+  for (std::uint32_t i = 0; i < slots; ++i) {
+    running.push_back(f.Backend.run(f.call(), [](const CallResult &) {}));
+  }
+  std::vector<const char *> frames;
+  for (std::size_t i = 0; i < queued; ++i) {
+    f.Backend.run(
+        f.call(), [](const CallResult &) {},
+        [&] {
+          frames.push_back(static_cast<char *>(__builtin_frame_address(0)));
+          return false;
+        });
+  }
+  REQUIRE(f.Backend.openCalls() == slots + queued);
+  f.Backend.cancel(running.front());
+  CHECK(f.Backend.openCalls() == slots - 1);
+  REQUIRE(frames.size() == queued);
+  const auto span = std::minmax_element(frames.begin(), frames.end());
+  CHECK(*span.second - *span.first < maxDepthBytes);
+}
