Log an uncaught exception before it ends the process

A line of the part "process" has the text of the exception; the process ends after it as before, since a broken invariant leaves a state that cannot be trusted (docs/incidents/callback-inside-calls.md). New test: "an uncaught exception is logged before the process ends".

--- a/include/chivefold/io/logging.h
+++ b/include/chivefold/io/logging.h
@@ -32,6 +32,12 @@
  * those of logLevelName(). Thread-safe. */
 Status setLogLevel(std::string_view name);
 
+/** Makes an exception that nothing catches write a line of the part "process"
+ * with its text before it ends the process, which it does as before, by
+ * SIGABRT: it shows a broken invariant, after which the state cannot be
+ * trusted. Called once at the start of a process, after initLogging(). */
+void logUncaughtExceptions();
+
 /** One key=value pair of a log line. */
 struct LogField {
   LogField(std::string_view key, std::string_view value)
--- a/src/io/logging.cpp
+++ b/src/io/logging.cpp
@@ -6,6 +6,8 @@
 #include <array>
 #include <chrono>
 #include <cstdio>
+#include <cstdlib>
+#include <exception>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
@@ -74,6 +76,25 @@
   return out + '"';
 }
 
+std::string currentExceptionText() {
+  try {
+    if (std::current_exception()) {
+      throw;
+    }
+    return "none";
+  } catch (const std::exception &e) {
+    return e.what();
+  } catch (...) {
+    return "not a standard exception";
+  }
+}
+
+[[noreturn]] void logAndAbort() {
+  Logger("process").error("an invariant is broken; the process ends",
+                          {{"exception", currentExceptionText()}});
+  std::abort();
+}
+
 } // namespace
 
 LogField::LogField(std::string_view key, double value) : Key(key) {
@@ -110,6 +131,8 @@
   return Done{};
 }
 
+void logUncaughtExceptions() { std::set_terminate(&logAndAbort); }
+
 struct Logger::Impl {
   // Lines of one message in its current second.
   struct Count {
--- a/tests/unit/logging_test.cpp
+++ b/tests/unit/logging_test.cpp
@@ -1,8 +1,13 @@
 #include "chivefold/io/logging.h"
 
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <cstdio>
+#include <functional>
+#include <stdexcept>
+#include <sys/wait.h>
 #include <unistd.h>
 
 using namespace chivefold;
@@ -42,3 +47,37 @@
   CHECK(text.find(" WARN gate: repeated n=9\n") != std::string::npos);
   CHECK(text.find("WARN gate: repeated suppressed=15\n") != std::string::npos);
 }
+
+// Guards against a process whose log does not say why it ended.
+TEST_CASE("an uncaught exception is logged before the process ends",
+          "[logging]") {
+  std::array<int, 2> output{};
+  REQUIRE(pipe(output.data()) == 0);
+  const auto child = fork();
+  if (child == 0) {
+    dup2(output[1], STDERR_FILENO);
+    // Catch2 handles SIGABRT to report the test case.
+    std::signal(SIGABRT, SIG_DFL);
+    initLogging(LogLevel::Info);
+    logUncaughtExceptions();
+    const std::function<void()> fail = [] {
+      throw std::out_of_range("no such call");
+    };
+    [&fail]() noexcept { fail(); }();
+  }
+  close(output[1]);
+  std::string text(4096, ' ');
+  std::size_t n = 0;
+  for (ssize_t got = 0;
+       (got = read(output[0], text.data() + n, text.size() - n)) > 0;) {
+    n += static_cast<std::size_t>(got);
+  }
+  text.resize(n);
+  close(output[0]);
+  int status = 0;
+  REQUIRE(waitpid(child, &status, 0) == child);
+  CHECK(WIFSIGNALED(status));
+  CHECK(WTERMSIG(status) == SIGABRT);
+  CHECK(text.find("ERROR process: an invariant is broken; the process ends "
+                  "exception=\"no such call\"\n") != std::string::npos);
+}
--- a/tools/chivefoldd.cpp
+++ b/tools/chivefoldd.cpp
@@ -18,6 +18,7 @@
     return parsed.ExitCode;
   }
   initLogging(LogLevel::Info);
+  logUncaughtExceptions();
   if (!setLogLevel(parsed.Value->LogLevel)) {
     return 2;
   }
