Share the main function of the edge test programs

Six programs had the same main(): find the case, print the names, run it and end the process beside the threads of the stand-ins; store_test had added the sixth. runNamedCase() is that function. A wrong name now prints the names in all of them. Cases, checks and seeds are unchanged.

--- a/tests/edge/bodies.cpp
+++ b/tests/edge/bodies.cpp
@@ -5,6 +5,7 @@
  * mid-body. Crowds, bounds and the settings of the hosts are fixed here.
  */
 #include "body_server.h"
+#include "case_main.h"
 #include "checks.h"
 #include "crowd.h"
 #include "platform_lab.h"
@@ -373,10 +374,8 @@
   return checks.exitCode();
 }
 
-using Case = std::function<int(const std::string &program)>;
-
-std::map<std::string, Case> cases() {
-  std::map<std::string, Case> out;
+std::map<std::string, CaseFunction> cases() {
+  std::map<std::string, CaseFunction> out;
   for (const std::string service : {Own, Other}) {
     const auto suffix = service == Own ? "_own" : "_other";
     const auto add = [&](const std::string &name, auto run) {
@@ -417,19 +416,4 @@
 
 } // namespace
 
-int main(int argc, char **argv) {
-  const auto all = cases();
-  const auto it = argc == 3 ? all.find(argv[1]) : all.end();
-  if (it == all.end()) {
-    std::fprintf(stderr, "usage: body_test CASE SIDECAR\n");
-    for (const auto &known : all) {
-      std::fprintf(stderr, "  %s\n", known.first.c_str());
-    }
-    return 2;
-  }
-  std::signal(SIGPIPE, SIG_IGN);
-  std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  const int code = it->second(argv[2]);
-  // The threads of the stand-ins still run.
-  std::_Exit(code);
-}
+int main(int argc, char **argv) { return runNamedCase(argc, argv, cases()); }
--- a/tests/edge/endless.cpp
+++ b/tests/edge/endless.cpp
@@ -4,6 +4,7 @@
  * caller closes. The daemon that called must neither keep them nor end, and
  * ordinary requests for other servers are answered meanwhile.
  */
+#include "case_main.h"
 #include "checks.h"
 #include "restarting_server.h"
 #include "two_hosts.h"
@@ -200,15 +201,4 @@
 
 } // namespace
 
-int main(int argc, char **argv) {
-  const auto it = argc == 3 ? Cases.find(argv[1]) : Cases.end();
-  if (it == Cases.end()) {
-    std::fprintf(stderr, "usage: endless_test own|other|both SIDECAR\n");
-    return 2;
-  }
-  std::signal(SIGPIPE, SIG_IGN);
-  std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  const int code = run(argv[2], it->second);
-  // The threads of the stand-ins still run.
-  std::_Exit(code);
-}
+int main(int argc, char **argv) { return runNamedCase(argc, argv, Cases, run); }
--- a/tests/edge/main.cpp
+++ b/tests/edge/main.cpp
@@ -5,6 +5,7 @@
  * within those of its host, and that ordinary requests are served during and
  * after it.
  */
+#include "case_main.h"
 #include "checks.h"
 #include "crowd.h"
 #include "platform_lab.h"
@@ -172,17 +173,11 @@
 } // namespace
 
 int main(int argc, char **argv) {
-  const auto all = cases();
-  const std::string name = argc == 3 ? argv[1] : "";
-  const auto it = all.find(name);
-  if (it == all.end() && name != "body_largest") {
-    std::fprintf(stderr, "usage: edge_test CASE SIDECAR\n");
-    return 2;
+  std::map<std::string, CaseFunction> all{{"body_largest", runLargest}};
+  for (const auto &it : cases()) {
+    all[it.first] = [test = it.second](const std::string &program) {
+      return runCrowd(test, program);
+    };
   }
-  std::signal(SIGPIPE, SIG_IGN);
-  std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  const int code = name == "body_largest" ? runLargest(argv[2])
-                                          : runCrowd(it->second, argv[2]);
-  // The threads of the stand-ins still run.
-  std::_Exit(code);
+  return runNamedCase(argc, argv, all);
 }
--- a/tests/edge/planned_stop.cpp
+++ b/tests/edge/planned_stop.cpp
@@ -5,6 +5,7 @@
  * time, and requests whose rest comes late in the grace. A request that a
  * server ran must have been answered.
  */
+#include "case_main.h"
 #include "checks.h"
 #include "restarting_server.h"
 #include "two_hosts.h"
@@ -249,15 +250,4 @@
 
 } // namespace
 
-int main(int argc, char **argv) {
-  const auto it = argc == 3 ? Cases.find(argv[1]) : Cases.end();
-  if (it == Cases.end()) {
-    std::fprintf(stderr, "usage: stop_test one|both|slow_server SIDECAR\n");
-    return 2;
-  }
-  std::signal(SIGPIPE, SIG_IGN);
-  std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  const int code = run(argv[2], it->second);
-  // The threads of the stand-ins still run.
-  std::_Exit(code);
-}
+int main(int argc, char **argv) { return runNamedCase(argc, argv, Cases, run); }
--- a/tests/edge/restarts.cpp
+++ b/tests/edge/restarts.cpp
@@ -3,6 +3,7 @@
  * Real sidecar processes that are replaced by ones that know nothing, after
  * they have acknowledged or learned something that binds their successors.
  */
+#include "case_main.h"
 #include "checks.h"
 #include "restarting_server.h"
 #include "two_hosts.h"
@@ -322,10 +323,8 @@
   return checks.exitCode();
 }
 
-using Case = std::function<int(const std::string &program)>;
-
-std::map<std::string, Case> cases() {
-  std::map<std::string, Case> out;
+std::map<std::string, CaseFunction> cases() {
+  std::map<std::string, CaseFunction> out;
   out["leave_notice"] = [](const std::string &program) {
     return runLeave(program, sendNotice);
   };
@@ -348,19 +347,4 @@
 
 } // namespace
 
-int main(int argc, char **argv) {
-  const auto all = cases();
-  const auto it = argc == 3 ? all.find(argv[1]) : all.end();
-  if (it == all.end()) {
-    std::fprintf(stderr, "usage: restart_test CASE SIDECAR\n");
-    for (const auto &known : all) {
-      std::fprintf(stderr, "  %s\n", known.first.c_str());
-    }
-    return 2;
-  }
-  std::signal(SIGPIPE, SIG_IGN);
-  std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  const int code = it->second(argv[2]);
-  // The threads of the stand-ins still run.
-  std::_Exit(code);
-}
+int main(int argc, char **argv) { return runNamedCase(argc, argv, cases()); }
--- a/tests/edge/store_faults.cpp
+++ b/tests/edge/store_faults.cpp
@@ -3,6 +3,7 @@
  * A real sidecar process that drives several rollouts while its store fails:
  * whatever the store answers, the process lives and follows the store again.
  */
+#include "case_main.h"
 #include "checks.h"
 
 #include <chrono>
@@ -167,19 +168,11 @@
 } // namespace
 
 int main(int argc, char **argv) {
-  const auto it = argc >= 3 ? Cases.find(argv[1]) : Cases.end();
-  if (it == Cases.end()) {
-    std::fprintf(stderr, "usage: store_test CASE SIDECAR [SEED]\n");
-    for (const auto &known : Cases) {
-      std::fprintf(stderr, "  %s\n", known.first.c_str());
-    }
-    return 2;
-  }
-  std::signal(SIGPIPE, SIG_IGN);
-  std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  const auto seed =
-      argc > 3 ? std::strtoull(argv[3], nullptr, 10) : it->second.Seed;
-  const int code = run(argv[2], it->second, seed);
-  // The threads of the stand-ins still run.
-  std::_Exit(code);
+  return runNamedCase(
+      argc, argv, Cases,
+      [&](const std::string &program, const StoreCase &test) {
+        return run(program, test,
+                   argc > 3 ? std::strtoull(argv[3], nullptr, 10) : test.Seed);
+      },
+      3);
 }
