--- a/tests/unit/body_stream_test.cpp
+++ b/tests/unit/body_stream_test.cpp
@@ -58,10 +58,7 @@
     REQUIRE(runUntil(Loop, [&] { return Arriving != nullptr; }));
     return body;
   }
-  void pass(Duration time) {
-    const auto end = Loop.now() + time;
-    runUntil(Loop, [&] { return Loop.now() >= end; });
-  }
+  void pass(Duration time) { runFor(Loop, time); }
 
   PeerRequestId Id = PeerRequestId::None;
 };
--- a/tests/unit/departures_test.cpp
+++ b/tests/unit/departures_test.cpp
@@ -43,10 +43,7 @@
 
   MemoryFixture() { Era.observe(MemoryStore::Era); }
 
-  void pass(Duration time) {
-    const auto end = Loop.now() + time;
-    runUntil(Loop, [&] { return Loop.now() >= end; });
-  }
+  void pass(Duration time) { runFor(Loop, time); }
   std::vector<KeyedRecord> written() const {
     auto all = Store.copy();
     return all[KeyedStream::Hosts];
--- a/tests/unit/http_client_callback_test.cpp
+++ b/tests/unit/http_client_callback_test.cpp
@@ -1,6 +1,6 @@
 // When callbacks run, and when waiting calls get a connection.
 #include "http_client_fixture.h"
-#include "refused_descriptor.h"
+#include "unwatchable_descriptors.h"
 
 #include <algorithm>
 #include <atomic>
@@ -121,8 +121,7 @@
   }
   CHECK_FALSE(ends.anyEnded());
   CHECK(f.Client->cancelUnsent(last));
-  const auto end = f.Loop.now() + std::chrono::milliseconds(20);
-  runUntil(f.Loop, [&] { return f.Loop.now() >= end; });
+  runFor(f.Loop, std::chrono::milliseconds(20));
   CHECK(ends.endedOnce(connections - 1));
   CHECK(ends.Answered + ends.Uncertain == 0);
 }
@@ -142,8 +141,7 @@
     f.Client->start(f.call(), ends.callback(i));
   }
   f.Client.reset();
-  const auto end = f.Loop.now() + std::chrono::milliseconds(20);
-  runUntil(f.Loop, [&] { return f.Loop.now() >= end; });
+  runFor(f.Loop, std::chrono::milliseconds(20));
   CHECK_FALSE(ends.anyEnded());
 }
 
@@ -161,8 +159,7 @@
     });
   }
   REQUIRE(runUntil(f.Loop, [&] { return ended > 0; }));
-  const auto end = f.Loop.now() + std::chrono::milliseconds(20);
-  runUntil(f.Loop, [&] { return f.Loop.now() >= end; });
+  runFor(f.Loop, std::chrono::milliseconds(20));
   CHECK(ended == 1);
 }
 
--- a/tests/unit/http_client_churn_test.cpp
+++ b/tests/unit/http_client_churn_test.cpp
@@ -155,12 +155,10 @@
     for (std::size_t i = 0; i < FirstCalls; ++i) {
       start();
     }
-    const auto until = Loop.now() + std::chrono::milliseconds(Random() % 4);
-    runUntil(Loop, [&] { return Loop.now() >= until; });
+    runFor(Loop, std::chrono::milliseconds(Random() % 4));
     Client.reset();
     const auto open = openCalls();
-    const auto end = Loop.now() + std::chrono::milliseconds(5);
-    runUntil(Loop, [&] { return Loop.now() >= end; });
+    runFor(Loop, std::chrono::milliseconds(5));
     CHECK(openCalls() == open);
   }
 
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -227,8 +227,7 @@
   f.Server.quiesce();
   f.Held[0]->respond({200, {}, std::string(LongAnswerBytes, 'x')});
   f.Held.clear();
-  const auto end = f.Loop.now() + std::chrono::milliseconds(100);
-  runUntil(f.Loop, [&] { return f.Loop.now() >= end; });
+  runFor(f.Loop, std::chrono::milliseconds(100));
   CHECK(f.Server.openRequests() == 1);
   CHECK(isWhole(readWhileRunning(f.Loop, s), LongAnswerBytes));
   CHECK(f.Server.openRequests() == 0);
@@ -294,8 +293,7 @@
   f.Held.clear();
   std::size_t whole = 0;
   // The closed connections are those above the bound.
-  const auto end = f.Loop.now() + std::chrono::milliseconds(100);
-  runUntil(f.Loop, [&] { return f.Loop.now() >= end; });
+  runFor(f.Loop, std::chrono::milliseconds(100));
   CHECK(f.Server.openRequests() * LongAnswerBytes <=
         HttpServer::MaxHeldBytes + LongAnswerBytes);
   CHECK(f.Server.openRequests() > 0);
--- a/tests/unit/long_body_test.cpp
+++ b/tests/unit/long_body_test.cpp
@@ -1,7 +1,7 @@
 #include "backend_fixture.h"
 #include "chivefold/io/http_server.h"
-#include "refused_descriptor.h"
 #include "sidecar_lab.h"
+#include "unwatchable_descriptors.h"
 
 #include <catch2/catch.hpp>
 #include <map>
@@ -49,10 +49,7 @@
     client.setReceiveTimeout({0, 50'000});
     return client.readUntil("\r\n\r\n");
   }
-  void pass(Duration time) {
-    const auto end = Loop.now() + time;
-    runUntil(Loop, [&] { return Loop.now() >= end; });
-  }
+  void pass(Duration time) { runFor(Loop, time); }
 };
 
 /** A client's connection to a sidecar of a lab, with a long body. */
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -49,10 +49,7 @@
     out->Memory.onListed(MemoryStore::Era);
     return out;
   }
-  void pass(Duration time) {
-    const auto end = Loop.now() + time;
-    runUntil(Loop, [&] { return Loop.now() >= end; });
-  }
+  void pass(Duration time) { runFor(Loop, time); }
   std::vector<KeyedRecord> listed() {
     std::optional<std::vector<KeyedRecord>> out;
     Store.list(KeyedStream::Hosts, "", Loop.now() + 1s,
--- a/tests/unit/raw_socket.h
+++ b/tests/unit/raw_socket.h
@@ -166,6 +166,12 @@
   return done();
 }
 
+/** Runs the loop for a time. */
+inline void runFor(Reactor &reactor, Duration time) {
+  const auto end = reactor.now() + time;
+  runUntil(reactor, [&] { return reactor.now() >= end; });
+}
+
 } // namespace chivefold
 
 #endif
--- a/tests/unit/server_limit_test.cpp
+++ b/tests/unit/server_limit_test.cpp
@@ -49,10 +49,7 @@
 
   RequestLimit limit() const { return Fixture.Backend.gate().StatedLimit; }
 
-  void runFor(Duration time) {
-    const auto end = Fixture.Loop.now() + time;
-    runUntil(Fixture.Loop, [&] { return Fixture.Loop.now() >= end; });
-  }
+  void runFor(Duration time) { chivefold::runFor(Fixture.Loop, time); }
 
   /** Sends a call and waits for its result. */
   CallResult call() { return call(Fixture.call()); }
--- a/tests/unit/sidecar_lab.h
+++ b/tests/unit/sidecar_lab.h
@@ -371,10 +371,7 @@
     return done();
   }
 
-  void pass(Duration time) {
-    const auto end = Loop.now() + time;
-    runUntil(Loop, [&] { return Loop.now() >= end; });
-  }
+  void pass(Duration time) { runFor(Loop, time); }
 
   /** Calls @p path on @p host until a server answers. */
   void awaitService(const LabHost &host, const std::string &path) {
--- a/tests/unit/unwatchable_descriptors.h
+++ b/tests/unit/unwatchable_descriptors.h
@@ -2,8 +2,8 @@
  * @file
  * Descriptors that a reactor refuses to watch.
  */
-#ifndef CHIVEFOLD_TESTS_REFUSED_DESCRIPTOR_H
-#define CHIVEFOLD_TESTS_REFUSED_DESCRIPTOR_H
+#ifndef CHIVEFOLD_TESTS_UNWATCHABLE_DESCRIPTORS_H
+#define CHIVEFOLD_TESTS_UNWATCHABLE_DESCRIPTORS_H
 
 #include "raw_socket.h"
 
